--- /dev/null
+++ b/dev.py
@@ -0,0 +1,96 @@
+"""Entry point for everything a developer runs: ``python3 dev.py COMMAND``.
+
+Needs only Python 3.11 and pip; the first run installs pinned packages into
+``.venv`` (or the directory that ``BILBERRYRAIL_VENV`` names).
+"""
+
+import hashlib
+import os
+import pathlib
+import subprocess
+import sys
+import venv
+
+ROOT = pathlib.Path(__file__).resolve().parent
+VENV = pathlib.Path(os.environ.get('BILBERRYRAIL_VENV', ROOT / '.venv'))
+PYTHON = VENV / 'bin' / 'python'
+REQUIREMENTS = ROOT / 'requirements.txt'
+CONSTRAINTS = ROOT / 'constraints.txt'
+STAMP = VENV / 'installed.sha256'
+PACKAGES = sorted(
+    path.parent for path in ROOT.glob('packages/*/pyproject.toml')
+)
+
+COMMANDS = {
+    'demo': [['-m', 'bilberryrail.standins.demo']],
+    'test': [['-m', 'pytest', '-q']],
+    'lint': [
+        ['-m', 'ruff', 'format', '--check', '.'],
+        ['-m', 'ruff', 'check', '.'],
+        ['-m', 'flake8', 'packages'],
+    ],
+    'format': [
+        ['-m', 'ruff', 'check', '--fix', '.'],
+        ['-m', 'ruff', 'format', '.'],
+    ],
+    'node': [['-m', 'bilberryrail.node']],
+    'cli': [['-m', 'bilberryrail.cli']],
+    'bench': [['-m', 'bilberryrail.bench']],
+}
+
+
+def environment() -> dict[str, str]:
+    """Put the packages of this checkout before installed ones."""
+    paths = os.pathsep.join(str(path) for path in PACKAGES)
+    return {**os.environ, 'PYTHONPATH': paths}
+
+
+def wanted_stamp() -> str:
+    """Hash everything that decides what is installed."""
+    digest = hashlib.sha256()
+    for path in (REQUIREMENTS, CONSTRAINTS):
+        digest.update(path.read_bytes())
+    for package in PACKAGES:
+        digest.update((package / 'pyproject.toml').read_bytes())
+    return digest.hexdigest()
+
+
+def pip_install(*arguments: str) -> None:
+    """Install with the pinned versions."""
+    command = [str(PYTHON), '-m', 'pip', 'install', '--quiet']
+    command += ['--disable-pip-version-check', '-c', str(CONSTRAINTS)]
+    subprocess.run(command + list(arguments), check=True)
+
+
+def install() -> None:
+    """Create the environment unless it matches the pinned versions."""
+    wanted = wanted_stamp()
+    if STAMP.exists() and STAMP.read_text() == wanted:
+        return
+    if 'BILBERRYRAIL_VENV' in os.environ and STAMP.exists():
+        print('dev.py: shared environment differs from constraints.txt')
+        return
+    if not PYTHON.exists():
+        venv.create(VENV, with_pip=True)
+    pip_install('-r', str(REQUIREMENTS))
+    editable = [word for path in PACKAGES for word in ('-e', str(path))]
+    pip_install('--no-build-isolation', '--no-deps', *editable)
+    STAMP.write_text(wanted)
+
+
+def main() -> int:
+    """Run one command and return its exit code."""
+    if len(sys.argv) < 2 or sys.argv[1] not in COMMANDS:
+        print(f'usage: python3 dev.py [{" | ".join(COMMANDS)}] [ARGUMENTS]')
+        return 2
+    install()
+    for arguments in COMMANDS[sys.argv[1]]:
+        command = [str(PYTHON), *arguments, *sys.argv[2:]]
+        code = subprocess.run(command, cwd=ROOT, env=environment()).returncode
+        if code:
+            return code
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/bench/bilberryrail/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions on the paused clock."""
--- /dev/null
+++ b/packages/cli/bilberryrail/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' command."""
--- /dev/null
+++ b/packages/control/bilberryrail/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replay, planning, membership and relay decisions; no I/O."""
--- /dev/null
+++ b/packages/control/bilberryrail/control/settings.py
@@ -0,0 +1,63 @@
+"""Settings of the control plane, checked when they are read."""
+
+from typing import Annotated, Final
+
+import msgspec
+
+from bilberryrail.core.ids import (
+    AvailabilityZoneId,
+    NodeId,
+    RegionId,
+    ServiceId,
+)
+
+#: Longest duration that a setting may have.
+SECONDS_PER_DAY: Final = 86400
+
+_Duration = Annotated[float, msgspec.Meta(gt=0, le=SECONDS_PER_DAY)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+_Name = Annotated[
+    str,
+    msgspec.Meta(pattern='^[a-z0-9][a-z0-9.-]*$', max_length=64),
+]
+
+
+class NodeIdentity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Who and where this node is.
+
+    Attributes
+    ----------
+    host, port
+        Address on which the node serves other nodes.
+    http_port
+        Port on the same host for callers.
+    """
+
+    node: Annotated[NodeId, _Name]
+    service: Annotated[ServiceId, _Name]
+    zone: Annotated[AvailabilityZoneId, _Name]
+    region: Annotated[RegionId, _Name]
+    host: str
+    port: _Port
+    http_port: _Port
+
+
+class SeedPeer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Address of a node to contact when the log is away at start."""
+
+    host: str
+    port: _Port
+
+
+class RelaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Fan-out of records, reporting of applied offsets and announcements."""
+
+    readers_per_region: Annotated[int, msgspec.Meta(ge=1, le=16)] = 3
+    children_per_parent: Annotated[int, msgspec.Meta(ge=2, le=256)] = 16
+    status_interval_s: _Duration = 1.0
+    refresh_interval_s: _Duration = 3600.0
+    missed_refreshes: Annotated[int, msgspec.Meta(ge=1)] = 3
+    log_retry_s: _Duration = 0.5
+    snapshot_every_records: Annotated[int, msgspec.Meta(ge=1)] = 5000
+    snapshot_part_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 262144
+    seeds: tuple[SeedPeer, ...] = ()
--- /dev/null
+++ b/packages/core/bilberryrail/core/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable records, ids, errors and codec shared by all packages."""
--- /dev/null
+++ b/packages/core/bilberryrail/core/codec.py
@@ -0,0 +1,133 @@
+"""MessagePack codec of log records and cluster states.
+
+A record is an envelope ``{"kind": ..., "body": ...}``; the kind selects the
+data class. Unknown fields are ignored so that nodes of two versions can read
+one log during a rolling replacement.
+"""
+
+from types import MappingProxyType
+from typing import Any, Final
+
+import msgspec
+from result import Err, Ok, Result
+
+from bilberryrail.core import records
+from bilberryrail.core.errors import CodecError
+
+_KINDS: Final = MappingProxyType(
+    {
+        'change': records.Change,
+        'join': records.Join,
+        'leave': records.Leave,
+        'evict': records.Evict,
+        'snapshot-part': records.SnapshotPart,
+    }
+)
+_NAMES: Final = MappingProxyType(
+    {record: kind for kind, record in _KINDS.items()},
+)
+
+_EDIT_KINDS: Final = MappingProxyType(
+    {
+        'service': records.ServiceEdit,
+        'tenant': records.TenantEdit,
+        'availability-zone': records.AvailabilityZoneEdit,
+    }
+)
+_EDIT_NAMES: Final = MappingProxyType(
+    {edit: kind for kind, edit in _EDIT_KINDS.items()},
+)
+
+
+class _Envelope(msgspec.Struct):
+    """A record with the name of its kind."""
+
+    kind: str
+    body: msgspec.Raw
+
+
+class _ChangeBody(msgspec.Struct):
+    """A change whose edits are envelopes."""
+
+    record_id: str
+    base_offset: int
+    author: str
+    edits: list[_Envelope]
+
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def encode_record(record: records.Record) -> bytes:
+    """Encode a record for the log."""
+    body: Any = record
+    if isinstance(record, records.Change):
+        body = _ChangeBody(
+            record_id=record.record_id,
+            base_offset=record.base_offset,
+            author=record.author,
+            edits=[_encode_edit(edit) for edit in record.edits],
+        )
+    return _encode_envelope(_NAMES[type(record)], body)
+
+
+def decode_record(encoded: bytes) -> Result[records.Record, CodecError]:
+    """Decode a record read from the log or from another node."""
+    try:
+        return Ok(_decode_record(encoded))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(CodecError(reason=f'record cannot be decoded: {error}'))
+
+
+def encode_state(state: records.ClusterState) -> bytes:
+    """Encode a cluster state for a snapshot."""
+    return _encoder.encode(state)
+
+
+def decode_state(encoded: bytes) -> Result[records.ClusterState, CodecError]:
+    """Decode a cluster state from the parts of a snapshot."""
+    try:
+        return Ok(msgspec.msgpack.decode(encoded, type=records.ClusterState))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Err(CodecError(reason=f'state cannot be decoded: {error}'))
+
+
+def _encode_envelope(kind: str, body: Any) -> bytes:
+    raw = msgspec.Raw(_encoder.encode(body))
+    return _encoder.encode(_Envelope(kind=kind, body=raw))
+
+
+def _encode_edit(edit: records.Edit) -> _Envelope:
+    raw = msgspec.Raw(_encoder.encode(edit))
+    return _Envelope(kind=_EDIT_NAMES[type(edit)], body=raw)
+
+
+def _decode_record(encoded: bytes) -> records.Record:
+    envelope = msgspec.msgpack.decode(encoded, type=_Envelope)
+    record_type = _KINDS.get(envelope.kind)
+    if record_type is None:
+        raise msgspec.ValidationError(
+            f'kind {envelope.kind!r} is not one of {sorted(_KINDS)}',
+        )
+    if record_type is records.Change:
+        return _decode_change(envelope.body)
+    return msgspec.msgpack.decode(envelope.body, type=record_type)
+
+
+def _decode_change(body: msgspec.Raw) -> records.Change:
+    change = msgspec.msgpack.decode(body, type=_ChangeBody)
+    return records.Change(
+        record_id=records.RecordId(change.record_id),
+        base_offset=records.Offset(change.base_offset),
+        author=change.author,
+        edits=tuple(_decode_edit(edit) for edit in change.edits),
+    )
+
+
+def _decode_edit(edit: _Envelope) -> records.Edit:
+    edit_type = _EDIT_KINDS.get(edit.kind)
+    if edit_type is None:
+        raise msgspec.ValidationError(
+            f'edit {edit.kind!r} is not one of {sorted(_EDIT_KINDS)}',
+        )
+    return msgspec.msgpack.decode(edit.body, type=edit_type)
--- /dev/null
+++ b/packages/node/bilberryrail/node/__init__.py
@@ -0,0 +1,1 @@
+"""Node process: the shell around the decision engine."""
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, admission, retry and reservation decisions; no I/O."""
--- /dev/null
+++ b/packages/settings/bilberryrail/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings objects, read from JSON and checked."""
--- /dev/null
+++ b/packages/standins/bilberryrail/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and its callers, for tests and the demo."""
--- /dev/null
+++ b/packages/wire/bilberryrail/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between nodes: messages, generated code, frame conversion."""
