--- a/packages/control/bilberryrail/control/settings.py
+++ b/packages/control/bilberryrail/control/settings.py
@@ -16,10 +16,8 @@
 
 _Duration = Annotated[float, msgspec.Meta(gt=0, le=SECONDS_PER_DAY)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
-_Name = Annotated[
-    str,
-    msgspec.Meta(pattern='^[a-z0-9][a-z0-9.-]*$', max_length=64),
-]
+#: Names are part of addresses, log lines and metric labels.
+NAME = msgspec.Meta(pattern='^[a-z0-9][a-z0-9.-]*$', max_length=64)
 
 
 class NodeIdentity(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -33,10 +31,10 @@
         Port on the same host for callers.
     """
 
-    node: Annotated[NodeId, _Name]
-    service: Annotated[ServiceId, _Name]
-    zone: Annotated[AvailabilityZoneId, _Name]
-    region: Annotated[RegionId, _Name]
+    node: Annotated[NodeId, NAME]
+    service: Annotated[ServiceId, NAME]
+    zone: Annotated[AvailabilityZoneId, NAME]
+    region: Annotated[RegionId, NAME]
     host: str
     port: _Port
     http_port: _Port
