Add the stand-ins and the operators' command

Change: log service, backend servers, callers and demo as separate processes; the command plans, confirms, shows status and moves availability zones.

--- /dev/null
+++ b/packages/cli/bilberryrail/cli/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the operators' command as ``python -m bilberryrail.cli``."""
+
+from bilberryrail.cli.main import run
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/packages/standins/bilberryrail/standins/answers.py
@@ -0,0 +1,16 @@
+"""JSON answers of the stand-ins."""
+
+from http import HTTPStatus
+
+import msgspec
+from twisted.web.iweb import IRequest
+
+
+def json_answer(request: IRequest, status: HTTPStatus, body: object) -> bytes:
+    """Set status and content type, and encode the body."""
+    request.setResponseCode(status)
+    request.setHeader('Content-Type', 'application/json')
+    encoded = msgspec.json.encode(body)
+    # With a stated length a reader can tell a truncated answer.
+    request.setHeader('Content-Length', str(len(encoded)))
+    return encoded
--- /dev/null
+++ b/packages/standins/bilberryrail/standins/caller_calls.py
@@ -0,0 +1,213 @@
+"""Calls of one caller: reservation, submission, waits and repeats."""
+
+import random
+from collections import Counter
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import msgspec
+from absl import logging
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+
+from bilberryrail.standins.caller_http import (
+    DEFAULT_RETRY_S,
+    CallerHttp,
+    Completed,
+    NoAnswer,
+    NotSent,
+    Refused,
+    answer_fault,
+)
+from bilberryrail.standins.caller_report import (
+    US_PER_S,
+    CallResult,
+    new_histogram,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """What one caller wants.
+
+    Attributes
+    ----------
+    deadline_s
+        Deadline stated with each submission.
+    patience_s
+        Time after which the caller submits no more.
+    """
+
+    request: str
+    service: str
+    idempotent: bool
+    tenant: str
+    home_regions: tuple[str, ...]
+    deadline_s: float
+    patience_s: float
+
+
+@dataclass
+class Progress:
+    """What a caller knows about its call so far.
+
+    Attributes
+    ----------
+    may_have_run
+        Whether a submission of the current token, or any lookup, got an
+        answer other than a true "not run".
+    """
+
+    outcome: str = 'lost'
+    final: bool = False
+    may_have_run: bool = False
+    wrong: bool = False
+    token: str | None = None
+    wait_s: float = 0
+
+
+class _Reservation(msgspec.Struct):
+    """Answer to a reservation request."""
+
+    token: str
+
+
+class Caller:
+    """Carries calls out and records their latency.
+
+    Attributes
+    ----------
+    nodes
+        Base URLs of nodes; each submission goes to a random one.
+    reasons
+        Count of every outcome and reason that was answered on the way.
+    """
+
+    def __init__(
+        self,
+        nodes: tuple[str, ...],
+        clock: IReactorTime,
+        source: random.Random,
+    ) -> None:
+        self.nodes = nodes
+        self.clock = clock
+        self.random = source
+        self.http = CallerHttp(clock)
+        self.latency = new_histogram()
+        self.reasons: Counter[str] = Counter()
+
+    async def run(self, call: Call) -> CallResult:
+        """Submit a call until it has a final result or patience ends."""
+        started_at = self.clock.seconds()
+        progress = Progress()
+        while not progress.final:
+            await self._step(call, progress)
+            elapsed_s = self.clock.seconds() - started_at
+            if elapsed_s + progress.wait_s > call.patience_s:
+                break
+            if not progress.final:
+                await deferLater(self.clock, progress.wait_s)
+        if progress.outcome == 'completed':
+            elapsed_s = self.clock.seconds() - started_at
+            self.latency.record_value(int(elapsed_s * US_PER_S))
+        return CallResult(
+            request=call.request,
+            idempotent=call.idempotent,
+            outcome=progress.outcome,
+            may_have_run=progress.may_have_run,
+            wrong=progress.wrong,
+        )
+
+    async def _step(self, call: Call, progress: Progress) -> None:
+        if not call.idempotent and progress.token is None:
+            await self._reserve(call, progress)
+        else:
+            await self._submit(call, progress)
+
+    async def _reserve(self, call: Call, progress: Progress) -> None:
+        # A lost reservation answer is harmless: the unused token expires.
+        match await self._post(call, 'reservations', progress):
+            case Completed(body=body):
+                reservation = msgspec.json.decode(body, type=_Reservation)
+                progress.token = reservation.token
+                progress.wait_s = 0
+            case Refused() as refused:
+                self._note_refusal(refused, progress)
+            case NotSent() | NoAnswer():
+                progress.outcome = 'lost'
+                progress.wait_s = DEFAULT_RETRY_S
+
+    async def _submit(self, call: Call, progress: Progress) -> None:
+        match await self._post(call, 'calls', progress):
+            case Completed() as completed:
+                self._note_completed(call, completed, progress)
+            case Refused(outcome='not-run') as refused:
+                self._note_refusal(refused, progress)
+                if not progress.may_have_run:
+                    # No submission can still run, so a reservation at
+                    # another target cannot double the call.
+                    progress.token = None
+            case Refused() as refused:
+                progress.may_have_run = True
+                self._note_refusal(refused, progress)
+            case NotSent():
+                progress.wait_s = DEFAULT_RETRY_S
+            case NoAnswer():
+                progress.may_have_run = True
+                progress.outcome = 'lost'
+                progress.wait_s = DEFAULT_RETRY_S
+
+    async def _post(
+        self,
+        call: Call,
+        kind: str,
+        progress: Progress,
+    ) -> Completed | Refused | NotSent | NoAnswer:
+        headers = {'Bilberryrail-Tenant': call.tenant}
+        if progress.token is not None:
+            headers['Bilberryrail-Reservation'] = progress.token
+        node = self.random.choice(self.nodes)
+        answer = await self.http.post(
+            f'{node}/v1/services/{call.service}/{kind}',
+            headers,
+            msgspec.json.encode({'request': call.request}),
+            call.deadline_s,
+        )
+        self.reasons[_label(kind, answer)] += 1
+        return answer
+
+    def _note_refusal(self, refused: Refused, progress: Progress) -> None:
+        progress.outcome = refused.outcome
+        progress.wait_s = refused.retry_after_s
+        progress.final = refused.outcome == 'invalid'
+
+    def _note_completed(
+        self,
+        call: Call,
+        completed: Completed,
+        progress: Progress,
+    ) -> None:
+        progress.final = True
+        progress.may_have_run = True
+        if completed.status != HTTPStatus.OK:
+            progress.outcome = 'failed'
+            return
+        progress.outcome = 'completed'
+        fault = answer_fault(completed, call.request, call.home_regions)
+        if fault is not None:
+            progress.wrong = True
+            logging.error(
+                'event=wrong-answer request=%s fault=%r',
+                call.request,
+                fault,
+            )
+
+
+def _label(kind: str, answer: Completed | Refused | NotSent | NoAnswer) -> str:
+    match answer:
+        case Completed(status=status):
+            return f'{kind} {status}'
+        case Refused(outcome=outcome, reason=reason):
+            return f'{kind} {outcome} {reason}'
+        case NotSent(reason=reason) | NoAnswer(reason=reason):
+            return f'{kind} {reason}'
--- /dev/null
+++ b/packages/standins/bilberryrail/standins/caller_http.py
@@ -0,0 +1,147 @@
+"""One HTTP submission of a caller to a node, as a value in every case."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+import treq
+from twisted.internet.defer import CancelledError
+from twisted.internet.error import (
+    ConnectError,
+    ConnectingCancelledError,
+    ConnectionClosed,
+)
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.client import (
+    Agent,
+    HTTPConnectionPool,
+    RequestGenerationFailed,
+    ResponseFailed,
+)
+from twisted.web.iweb import IResponse
+
+from bilberryrail.standins.backend_model import Answer, checksum_of
+
+#: What treq raises when a sent request gets no whole answer.
+_NO_ANSWER = (
+    ResponseFailed,
+    RequestGenerationFailed,
+    ConnectionClosed,
+    CancelledError,
+)
+MS_PER_S = 1000
+CONNECTIONS_PER_NODE = 64
+#: Time that a caller waits beyond its deadline for the final response.
+GRACE_S = 2.0
+#: Time to wait when a refusal names no time.
+DEFAULT_RETRY_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Completed:
+    """A whole response of a backend server."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """An answer of the node itself; ``outcome`` is what the node states."""
+
+    outcome: str
+    reason: str
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class NotSent:
+    """No connection could be opened, so nothing ran."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """The connection broke or the time was up before a whole answer."""
+
+    reason: str
+
+
+Submission = Completed | Refused | NotSent | NoAnswer
+
+
+class CallerHttp:
+    """Posts to nodes over kept connections; never repeats a request itself."""
+
+    def __init__(self, clock: IReactorTime) -> None:
+        pool = HTTPConnectionPool(clock)
+        pool.maxPersistentPerHost = CONNECTIONS_PER_NODE
+        pool.retryAutomatically = False
+        self.client = treq.client.HTTPClient(Agent(clock, pool=pool))
+
+    async def post(
+        self,
+        url: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        deadline_s: float,
+    ) -> Submission:
+        """Send one request and classify what came back."""
+        stated = {**headers, 'Bilberryrail-Deadline-Ms': _ms(deadline_s)}
+        try:
+            return await self._post(url, stated, body, deadline_s + GRACE_S)
+        except (ConnectError, ConnectingCancelledError) as error:
+            return NotSent(type(error).__name__)
+        except _NO_ANSWER as error:
+            return NoAnswer(type(error).__name__)
+
+    async def _post(
+        self,
+        url: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> Submission:
+        response = await self.client.post(
+            url,
+            headers=headers,
+            data=body,
+            timeout=timeout_s,
+        )
+        received = await treq.content(response)
+        outcome = _header(response, 'Bilberryrail-Outcome', 'completed')
+        if outcome == 'completed':
+            return Completed(response.code, received)
+        reason = _header(response, 'Bilberryrail-Reason', 'none')
+        wait_ms = _header(response, 'Retry-After-Ms', '')
+        wait_s = int(wait_ms) / MS_PER_S if wait_ms else DEFAULT_RETRY_S
+        return Refused(outcome, reason, wait_s)
+
+
+def answer_fault(
+    completed: Completed,
+    request: str,
+    home_regions: tuple[str, ...],
+) -> str | None:
+    """Tell why an answer is not whole, not the caller's own or not allowed."""
+    try:
+        answer = msgspec.json.decode(completed.body, type=Answer)
+    except msgspec.MsgspecError as error:
+        return f'body is not whole: {error}'
+    if answer.request != request:
+        return f'answer belongs to request {answer.request}'
+    if answer.checksum != checksum_of(request, answer.payload):
+        return 'checksum differs'
+    if home_regions and answer.region not in home_regions:
+        return f'served in {answer.region} outside {home_regions}'
+    return None
+
+
+def _ms(duration_s: float) -> str:
+    return str(int(duration_s * MS_PER_S))
+
+
+def _header(response: IResponse, name: str, default: str) -> str:
+    found = response.headers.getRawHeaders(name)
+    return found[0] if found else default
--- /dev/null
+++ b/packages/standins/bilberryrail/standins/caller_report.py
@@ -0,0 +1,131 @@
+"""What a load of callers saw, and how it compares with what was executed."""
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+#: Range of recorded latencies in microseconds, and significant digits.
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 3
+US_PER_MS = 1000
+US_PER_S = 1_000_000
+MEDIAN = 50
+TAIL = 99
+
+
+def new_histogram() -> HdrHistogram:
+    """Make a histogram of latencies in microseconds."""
+    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+
+
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """Final result of one call, after all its submissions.
+
+    Attributes
+    ----------
+    outcome
+        Last value of ``Bilberryrail-Outcome``, or ``lost`` when the last
+        submission got no whole answer.
+    may_have_run
+        Whether any submission ended other than with a true "not run".
+    wrong
+        Whether an answer was not whole, belonged to another request or came
+        from a region outside the tenant's home regions.
+    """
+
+    request: str
+    idempotent: bool
+    outcome: str
+    may_have_run: bool = False
+    wrong: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Summary of a load.
+
+    Attributes
+    ----------
+    lost
+        Calls without a final response.
+    missing
+        Calls answered as completed that no backend server executed.
+    doubled
+        Non-idempotent calls that were executed more than once.
+    false_not_run
+        Calls whose every answer was "not run" although they were executed.
+    wrong
+        Calls that got an answer that was not whole or not their own.
+    p50_ms, p99_ms, max_ms
+        Time from a caller's wish to its whole answer, in milliseconds, with
+        reservation, waits and repeats.
+    """
+
+    calls: int
+    outcomes: Mapping[str, int]
+    lost: int
+    missing: int
+    doubled: int
+    false_not_run: int
+    wrong: int
+    p50_ms: float
+    p99_ms: float
+    max_ms: float
+    reasons: Mapping[str, int] = field(default_factory=dict)
+
+    @property
+    def refused(self) -> int:
+        """Return the number of calls that ended as "not run"."""
+        return self.outcomes.get('not-run', 0)
+
+    @property
+    def has_violations(self) -> bool:
+        """Tell whether anything was lost, doubled, wrong or untrue."""
+        violations = (
+            self.lost,
+            self.missing,
+            self.doubled,
+            self.false_not_run,
+            self.wrong,
+        )
+        return any(violations)
+
+
+def make_report(
+    calls: tuple[CallResult, ...],
+    executions: Mapping[str, int],
+    histogram: HdrHistogram,
+    reasons: Mapping[str, int],
+) -> LoadReport:
+    """Compare the callers' results with executions per request id."""
+    outcomes = Counter(call.outcome for call in calls)
+    return LoadReport(
+        calls=len(calls),
+        outcomes=outcomes,
+        lost=outcomes['lost'],
+        missing=sum(
+            call.outcome == 'completed' and not executions.get(call.request)
+            for call in calls
+        ),
+        doubled=sum(
+            not call.idempotent and executions.get(call.request, 0) > 1
+            for call in calls
+        ),
+        false_not_run=sum(
+            not call.may_have_run and executions.get(call.request, 0) > 0
+            for call in calls
+        ),
+        wrong=sum(call.wrong for call in calls),
+        p50_ms=_percentile(histogram, MEDIAN),
+        p99_ms=_percentile(histogram, TAIL),
+        max_ms=histogram.get_max_value() / US_PER_MS,
+        reasons=reasons,
+    )
+
+
+def _percentile(histogram: HdrHistogram, percentile: float) -> float:
+    return histogram.get_value_at_percentile(percentile) / US_PER_MS
--- /dev/null
+++ b/packages/standins/bilberryrail/standins/demo.py
@@ -0,0 +1,195 @@
+"""Demo of a deployment: ``python -m bilberryrail.standins.demo``.
+
+Sets up a deployment on loopback, sends lookups and bookings, takes an
+availability zone out and brings it back while the load runs, drains every
+node, and prints what the callers saw. Ends with status 1 if a call was lost,
+executed twice, answered wrongly, or dispatched in the zone that was out.
+"""
+
+import sys
+import time
+from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
+import typer
+
+from bilberryrail.core.ids import AvailabilityZoneId
+from bilberryrail.standins.caller_report import LoadReport
+from bilberryrail.standins.demo_system import (
+    DemoError,
+    System,
+    set_up,
+    start_system,
+)
+from bilberryrail.standins.deployments import load_deployment, place
+from bilberryrail.standins.processes import Children, ProcessError
+
+#: Invariant 3: a zone that is out gets no new work after this time.
+ZONE_OUT_S = 3.0
+#: Shares of the load's length at which the zone leaves and returns.
+LEAVE_AT = 0.25
+RETURN_AT = 0.65
+#: Time that the last calls and their patience may take after the load.
+LOAD_END_S = 20.0
+DRAIN_TIMEOUT_S = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Options of the demo; ``rate`` is in calls per second."""
+
+    seconds: float
+    seed: int
+    rate: float
+    deployment: str
+
+
+@dataclass(frozen=True, slots=True)
+class Findings:
+    """What the demo measured.
+
+    Attributes
+    ----------
+    late_in_zone
+        Calls dispatched in the zone later than 3 s after the confirmation
+        that took it out returned.
+    cold_excess
+        Most calls in flight above what a cold backend server bore.
+    unclean_exits
+        Nodes that did not end with status 0 on SIGTERM.
+    """
+
+    load: LoadReport
+    zone: AvailabilityZoneId
+    late_in_zone: int
+    cold_excess: int
+    unclean_exits: tuple[str, ...]
+
+    @property
+    def passed(self) -> bool:
+        """Tell whether nothing was lost, doubled, wrong or in the zone."""
+        return not (
+            self.load.has_violations or self.late_in_zone or self.unclean_exits
+        )
+
+
+def main(
+    seconds: Annotated[float, typer.Option(min=12, max=60)] = 30,
+    seed: int = 1,
+    rate: Annotated[float, typer.Option(min=1)] = 60,
+    deployment: str = 'tsagaan-tal',
+) -> None:
+    """Run the demo; ends by itself in under two minutes."""
+    options = Options(seconds, seed, rate, deployment)
+    try:
+        findings = run_demo(options)
+    except (DemoError, ProcessError) as error:
+        typer.echo(f'demo failed: {error}', err=True)
+        sys.exit(1)
+    for line in table(findings):
+        typer.echo(line)
+    sys.exit(0 if findings.passed else 1)
+
+
+def run_demo(options: Options) -> Findings:
+    """Start everything, run the load, and end everything."""
+    plan = place(load_deployment(options.deployment), options.seed)
+    with Children(DRAIN_TIMEOUT_S) as children:
+        _say(f'starting {len(plan.hosts)} nodes and backend servers')
+        system = start_system(plan, children)
+        _say('confirming the first intent')
+        typer.echo(set_up(system))
+        return _measure(system, options)
+
+
+def table(findings: Findings) -> tuple[str, ...]:
+    """Format the findings."""
+    load = findings.load
+    outcomes = ', '.join(
+        f'{name} {count}' for name, count in sorted(load.outcomes.items())
+    )
+    rows = (
+        ('calls', load.calls),
+        ('outcomes', outcomes),
+        ('refused (not run)', load.refused),
+        ('lost', load.lost),
+        ('completed but not executed', load.missing),
+        ('doubled', load.doubled),
+        ('wrong answers', load.wrong),
+        ('"not run" but executed', load.false_not_run),
+        ('latency p50 / p99 / max (ms)', _latencies(load)),
+        (f'dispatched in {findings.zone} when out', findings.late_in_zone),
+        ('cold overload (calls)', findings.cold_excess),
+        ('unclean exits', ', '.join(findings.unclean_exits) or 'none'),
+        ('passed', 'yes' if findings.passed else 'NO'),
+    )
+    return tuple(f'{name:34} {figure}' for name, figure in rows)
+
+
+def _measure(system: System, options: Options) -> Findings:
+    zones = tuple(system.plan.deployment.zones)
+    zone = zones[1]
+    started_at = time.monotonic()
+    report_path = system.children.directory / 'report.json'
+    settings = system.load_settings(
+        options.seed,
+        options.seconds,
+        options.rate,
+    )
+    load = system.children.start(
+        'callers',
+        'bilberryrail.standins.callers',
+        str(system.children.write('load.json', msgspec.json.encode(settings))),
+        '--out',
+        str(report_path),
+    )
+    late = _cycle_zone(system, zone, started_at, options.seconds)
+    load.process.wait(options.seconds + LOAD_END_S)
+    if not report_path.exists():
+        raise DemoError(f'the load gave no report:\n{load.tail()}')
+    excess = system.cold_excess()
+    _say('draining every node')
+    statuses = system.children.stop(system.nodes)
+    return Findings(
+        load=msgspec.json.decode(report_path.read_bytes(), type=LoadReport),
+        zone=zone,
+        late_in_zone=late,
+        cold_excess=excess,
+        unclean_exits=tuple(name for name in statuses if statuses[name]),
+    )
+
+
+def _cycle_zone(
+    system: System,
+    zone: AvailabilityZoneId,
+    started_at: float,
+    seconds: float,
+) -> int:
+    """Take a zone out and back; returns the calls it got when out."""
+    _sleep_until(started_at + seconds * LEAVE_AT)
+    _say(f'taking {zone} out')
+    typer.echo(system.command('zone', 'out', zone, '--yes'))
+    time.sleep(ZONE_OUT_S)
+    before = system.executions_in(zone)
+    _sleep_until(started_at + seconds * RETURN_AT)
+    late = system.executions_in(zone) - before
+    _say(f'bringing {zone} back')
+    typer.echo(system.command('zone', 'in', zone, '--yes'))
+    return late
+
+
+def _sleep_until(instant: float) -> None:
+    time.sleep(max(instant - time.monotonic(), 0))
+
+
+def _latencies(load: LoadReport) -> str:
+    return f'{load.p50_ms:.1f} / {load.p99_ms:.1f} / {load.max_ms:.1f}'
+
+
+def _say(step: str) -> None:
+    typer.echo(f'--- {step}')
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- /dev/null
+++ b/packages/standins/bilberryrail/standins/demo_system.py
@@ -0,0 +1,170 @@
+"""Starts a deployment on loopback and reaches it as operators do."""
+
+import subprocess
+import sys
+import urllib.request
+from dataclasses import dataclass
+
+import msgspec
+
+from bilberryrail.core.ids import AvailabilityZoneId
+from bilberryrail.standins.deployments import (
+    DeploymentPlan,
+    first_intent,
+    node_settings,
+)
+from bilberryrail.standins.load_settings import LoadService, LoadSettings
+from bilberryrail.standins.processes import LOOPBACK, Child, Children
+
+#: Addresses given to the operators' command; one of them may be in a zone
+#: that leaves, so there are several.
+OPERATOR_ADDRESSES = 3
+COMMAND_TIMEOUT_S = 40
+QUERY_TIMEOUT_S = 5
+
+
+class DemoError(Exception):
+    """A step of the demo failed."""
+
+
+class ExecutionCount(msgspec.Struct):
+    """Executions of one backend server; other fields are ignored."""
+
+    server: str
+    total: int
+    refused: int
+    max_cold_excess: int
+
+
+@dataclass(frozen=True, slots=True)
+class System:
+    """A running deployment."""
+
+    plan: DeploymentPlan
+    children: Children
+    nodes: tuple[Child, ...]
+
+    def command(self, *arguments: str) -> str:
+        """Run the operators' command and return what it printed.
+
+        Raises
+        ------
+        DemoError
+            If the command fails or takes too long.
+        """
+        addresses = [
+            word
+            for host in self.plan.hosts[:OPERATOR_ADDRESSES]
+            for word in ('--node', f'{LOOPBACK}:{host.operator_port}')
+        ]
+        words = [sys.executable, '-m', 'bilberryrail.cli', *arguments]
+        try:
+            done = subprocess.run(
+                words + addresses,
+                capture_output=True,
+                text=True,
+                timeout=COMMAND_TIMEOUT_S,
+                check=False,
+            )
+        except subprocess.TimeoutExpired as error:
+            raise DemoError(f'{arguments} took too long') from error
+        if done.returncode:
+            raise DemoError(
+                f'bilberryrail {" ".join(arguments)} ended with status '
+                f'{done.returncode}:\n{done.stdout}{done.stderr}',
+            )
+        return done.stdout
+
+    def executions_in(self, zone: AvailabilityZoneId) -> int:
+        """Count the calls that were started in one availability zone."""
+        return sum(
+            self._count(host.backend.port).total
+            for host in self.plan.in_zone(zone)
+        )
+
+    def cold_excess(self) -> int:
+        """Return the worst cold overload among all backend servers."""
+        return max(
+            self._count(host.backend.port).max_cold_excess
+            for host in self.plan.hosts
+        )
+
+    def load_settings(
+        self,
+        seed: int,
+        seconds: float,
+        rate: float,
+    ) -> LoadSettings:
+        """Make the settings of a load on all services."""
+        deployment = self.plan.deployment
+        return LoadSettings(
+            nodes=tuple(
+                f'http://{LOOPBACK}:{host.identity.http_port}'
+                for host in self.plan.hosts
+            ),
+            backends=tuple(
+                f'http://{LOOPBACK}:{host.backend.port}'
+                for host in self.plan.hosts
+            ),
+            services=tuple(
+                LoadService(spec.service, spec.idempotent)
+                for spec in deployment.services
+            ),
+            tenants=deployment.tenants,
+            seed=seed,
+            seconds=seconds,
+            rate=rate,
+        )
+
+    def _count(self, port: int) -> ExecutionCount:
+        url = f'http://{LOOPBACK}:{port}/executions'
+        with urllib.request.urlopen(url, timeout=QUERY_TIMEOUT_S) as answer:
+            return msgspec.json.decode(answer.read(), type=ExecutionCount)
+
+
+def start_system(plan: DeploymentPlan, children: Children) -> System:
+    """Start log service, backend servers and nodes; wait until they listen."""
+    _start_log(plan, children)
+    _start_backends(plan, children)
+    nodes = _start_nodes(plan, children)
+    return System(plan, children, nodes)
+
+
+def set_up(system: System) -> str:
+    """Confirm the first intent through the operators' command."""
+    intent = msgspec.json.encode(first_intent(system.plan.deployment))
+    intent_path = system.children.write('intent.json', intent)
+    plan_path = system.children.directory / 'plan.json'
+    printed = system.command('plan', str(intent_path), '--out', str(plan_path))
+    return printed + system.command('confirm', str(plan_path))
+
+
+def _start_log(plan: DeploymentPlan, children: Children) -> None:
+    port = plan.log_port
+    module = 'bilberryrail.standins.log_service'
+    child = children.start('log', module, '--port', str(port))
+    children.wait_until_listening(child, [port])
+
+
+def _start_backends(plan: DeploymentPlan, children: Children) -> None:
+    backends = [host.backend for host in plan.hosts]
+    path = children.write('backends.json', msgspec.json.encode(backends))
+    module = 'bilberryrail.standins.backend_server'
+    child = children.start('backends', module, str(path))
+    children.wait_until_listening(child, [server.port for server in backends])
+
+
+def _start_nodes(
+    plan: DeploymentPlan,
+    children: Children,
+) -> tuple[Child, ...]:
+    nodes: list[Child] = []
+    for host in plan.hosts:
+        name = host.identity.node
+        encoded = msgspec.json.encode(node_settings(plan, host))
+        path = children.write(f'{name}.json', encoded)
+        nodes.append(children.start(name, 'bilberryrail.node', str(path)))
+    for child, host in zip(nodes, plan.hosts, strict=True):
+        ports = [host.identity.port, host.identity.http_port]
+        children.wait_until_listening(child, [*ports, host.operator_port])
+    return tuple(nodes)
--- /dev/null
+++ b/packages/standins/bilberryrail/standins/load_settings.py
@@ -0,0 +1,34 @@
+"""Settings of a load of callers."""
+
+import msgspec
+
+
+class LoadService(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A service that callers use."""
+
+    service: str
+    idempotent: bool
+
+
+class LoadSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A load and the processes it talks to.
+
+    Attributes
+    ----------
+    rate
+        Mean number of calls per second, over all services.
+    nodes, backends
+        Base URLs of nodes and of backend servers.
+    tenants
+        Home regions of each tenant; empty allows every region.
+    """
+
+    nodes: tuple[str, ...]
+    backends: tuple[str, ...]
+    services: tuple[LoadService, ...]
+    tenants: dict[str, tuple[str, ...]]
+    seed: int = 0
+    seconds: float = 10.0
+    rate: float = 50.0
+    deadline_s: float = 1.0
+    patience_s: float = 10.0
--- /dev/null
+++ b/packages/standins/bilberryrail/standins/log_streams.py
@@ -0,0 +1,61 @@
+"""Streams of the log stand-in: append, read by offset, limited retention."""
+
+import itertools
+from collections import deque
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Records of a stream from an offset on.
+
+    Attributes
+    ----------
+    first
+        Oldest offset that is kept.
+    end
+        Newest offset, -1 for an empty stream.
+    records
+        Pairs of offset and encoded record.
+    """
+
+    first: int
+    end: int
+    records: tuple[tuple[int, bytes], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Expired:
+    """The offset asked for is older than ``first``, the oldest kept."""
+
+    first: int
+
+
+@dataclass
+class Stream:
+    """One stream; keeps the newest ``retention`` records."""
+
+    retention: int
+    first: int = 0
+    records: deque[bytes] = field(default_factory=deque)
+
+    @property
+    def end(self) -> int:
+        """Newest offset, -1 for an empty stream."""
+        return self.first + len(self.records) - 1
+
+    def append(self, record: bytes) -> int:
+        """Store a record and return its offset."""
+        self.records.append(record)
+        if len(self.records) > self.retention:
+            self.records.popleft()
+            self.first += 1
+        return self.end
+
+    def read(self, start: int, limit: int) -> Page | Expired:
+        """Read up to ``limit`` records from offset ``start`` on."""
+        if start < self.first:
+            return Expired(self.first)
+        skipped = start - self.first
+        chosen = itertools.islice(self.records, skipped, skipped + limit)
+        return Page(self.first, self.end, tuple(enumerate(chosen, start)))
