--- /dev/null
+++ b/packages/cli/bilberryrail/cli/cli_test.py
@@ -0,0 +1,286 @@
+"""Guards the operators' command against misleading output and exit codes."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import threading
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import pytest
+
+#: Nothing listens on this port.
+DEAD = '127.0.0.1:1'
+
+
+def plan_json(sufficient: bool = True) -> dict:
+    capacity = {
+        'service': 'bookings',
+        'slots_before': 40,
+        'slots_after': 30,
+        'expected_concurrency': 15 if sufficient else 33,
+        'share': 0.5 if sufficient else 1.1,
+        'sufficient': sufficient,
+    }
+    return {
+        'record_id': 'c-1',
+        'base_offset': 7,
+        'edits': [{'kind': 'availability-zone', 'body': {'zone': 'ub2'}}],
+        'summary': ['availability zone ub2 is taken out'],
+        'capacity': [capacity],
+        'new_work_stops_within_s': 3,
+        'in_force_within_s': 12,
+    }
+
+
+def zone_json(lowest: int = 8, age_s: float = 0.5) -> dict:
+    return {
+        'region': 'ulaanbaatar',
+        'lowest': lowest,
+        'nodes': 4,
+        'expected': 4,
+        'age_s': age_s,
+        'out': False,
+    }
+
+
+@dataclass
+class Operator:
+    """Answers of the fake endpoint, and what it was asked."""
+
+    port: int = 0
+    plan: dict = field(default_factory=plan_json)
+    verdict: dict = field(
+        default_factory=lambda: {
+            'verdict': 'accepted',
+            'offset': 8,
+            'reason': '',
+        },
+    )
+    zones: dict = field(default_factory=lambda: {'ub1': zone_json()})
+    regions: dict = field(
+        default_factory=lambda: {'ulaanbaatar': {'heard_s_ago': 0}},
+    )
+    lose_confirmations: int = 0
+    confirmed: list[dict] = field(default_factory=list)
+    intents: list[dict] = field(default_factory=list)
+
+    @property
+    def address(self) -> str:
+        return f'127.0.0.1:{self.port}'
+
+    def answer(self, path: str, body: bytes) -> tuple[int, dict] | None:
+        match path.removeprefix('/v1/operator/').split('/'):
+            case ['plan']:
+                self.intents.append(json.loads(body))
+                if 'zones_out' not in self.intents[-1]:
+                    return 400, {'error': 'is not known', 'field': 'zone'}
+                return 200, self.plan
+            case ['confirm']:
+                self.confirmed.append(json.loads(body))
+                if len(self.confirmed) <= self.lose_confirmations:
+                    return None
+                return 202, {'record_id': self.confirmed[-1]['record_id']}
+            case ['changes', 'c-1']:
+                return 200, self.verdict
+            case ['status']:
+                return 200, {
+                    'node': 'n1',
+                    'applied': 8,
+                    'log': 'up',
+                    'zones': self.zones,
+                    'regions': self.regions,
+                }
+        return 404, {'error': f'no path {path}', 'field': None}
+
+
+class OperatorHandler(BaseHTTPRequestHandler):
+    """Passes requests to the server's operator."""
+
+    def do_POST(self) -> None:
+        size = int(self.headers.get('Content-Length') or 0)
+        answer = self.server.operator.answer(self.path, self.rfile.read(size))
+        if answer is None:
+            return
+        status, body = answer
+        encoded = json.dumps(body).encode()
+        self.send_response(status)
+        self.send_header('Content-Length', str(len(encoded)))
+        self.end_headers()
+        self.wfile.write(encoded)
+
+    def do_GET(self) -> None:
+        self.do_POST()
+
+    def log_message(self, *arguments: object) -> None:
+        """Write nothing."""
+
+
+@pytest.fixture
+def operator() -> Iterator[Operator]:
+    with ThreadingHTTPServer(('127.0.0.1', 0), OperatorHandler) as server:
+        server.operator = Operator(server.server_port)
+        thread = threading.Thread(target=server.serve_forever)
+        thread.start()
+        yield server.operator
+        server.shutdown()
+        thread.join()
+
+
+@pytest.fixture
+def plan_file(tmp_path: pathlib.Path) -> pathlib.Path:
+    path = tmp_path / 'plan.json'
+    path.write_text(json.dumps(plan_json()))
+    return path
+
+
+def command(
+    *words: object,
+    node: str,
+    typed: str = '',
+) -> subprocess.CompletedProcess:
+    arguments = [str(word) for word in words]
+    module = [sys.executable, '-m', 'bilberryrail.cli']
+    return subprocess.run(
+        [*module, *arguments, '--node', node],
+        input=typed,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+def test_plan_is_printed_and_kept(operator: Operator, tmp_path: pathlib.Path):
+    """Guards against a plan that loses fields between plan and confirm."""
+    intent, kept = tmp_path / 'intent.json', tmp_path / 'plan.json'
+    intent.write_text('{"zones_out": ["ub2"]}')
+    done = command('plan', intent, '--out', kept, node=operator.address)
+    assert done.returncode == 0, done.stderr
+    assert 'ub2 is taken out' in done.stdout
+    assert 'new work stops within 3 s' in done.stdout
+    assert '40 -> 30 slots' in done.stdout
+    assert '(50% in use): sufficient' in done.stdout
+    assert json.loads(kept.read_text()) == plan_json()
+    assert not operator.confirmed
+
+
+def test_confirm_reports_lowest_offsets(
+    operator: Operator,
+    plan_file: pathlib.Path,
+):
+    """Guards against "in force" without the offsets that prove it."""
+    done = command('confirm', plan_file, node=operator.address)
+    assert done.returncode == 0, done.stderr
+    assert 'Accepted at offset 8' in done.stdout
+    assert 'ub1 (ulaanbaatar): lowest applied offset 8' in done.stdout
+    assert 'In force in every availability zone' in done.stdout
+    assert operator.confirmed == [plan_json()]
+
+
+def test_lost_confirmation_is_repeated(
+    operator: Operator,
+    plan_file: pathlib.Path,
+):
+    """Guards against a lost answer that is told as a failure."""
+    operator.lose_confirmations = 1
+    lost = command('confirm', plan_file, node=operator.address)
+    assert lost.returncode == 3
+    assert 'again is safe' in lost.stderr
+    again = command('confirm', plan_file, node=operator.address)
+    assert again.returncode == 0
+    ids = [confirmed['record_id'] for confirmed in operator.confirmed]
+    assert ids == ['c-1', 'c-1']
+
+
+def test_rejected_change_tells_the_reason(
+    operator: Operator,
+    plan_file: pathlib.Path,
+):
+    """Guards against a rejected change that looks accepted."""
+    reason = 'scope availability-zones changed at offset 7'
+    operator.verdict = {'verdict': 'rejected', 'offset': 8, 'reason': reason}
+    done = command('confirm', plan_file, node=operator.address)
+    assert done.returncode == 1
+    assert reason in done.stderr
+
+
+def test_cut_off_region_is_named(operator: Operator, plan_file: pathlib.Path):
+    """Guards against "in force" while a region has not applied the change."""
+    operator.zones['dk1'] = zone_json(lowest=6, age_s=40)
+    operator.regions['darkhan'] = {'heard_s_ago': 40}
+    done = command('confirm', plan_file, '--wait', '1', node=operator.address)
+    assert done.returncode == 4
+    assert 'region darkhan was last heard from 40 s ago' in done.stdout
+    assert 'availability zone dk1 was not heard from' in done.stdout
+
+
+def test_pending_verdict_ends_with_the_wait(
+    operator: Operator,
+    plan_file: pathlib.Path,
+):
+    """Guards against a command that hangs while the log is away."""
+    operator.verdict = {'verdict': 'pending', 'offset': None, 'reason': None}
+    done = command('confirm', plan_file, '--wait', '1', node=operator.address)
+    assert done.returncode == 4
+    assert 'again is safe' in done.stderr
+
+
+def test_overload_needs_the_option(operator: Operator):
+    """Guards against confirming a plan that cannot bear the load."""
+    operator.plan = plan_json(sufficient=False)
+    words = ('zone', 'out', 'ub2', '--yes')
+    refused = command(*words, node=operator.address)
+    assert (refused.returncode, operator.confirmed) == (1, [])
+    assert '(110% in use): NOT SUFFICIENT' in refused.stdout
+    assert '--accept-overload' in refused.stderr
+    accepted = command(*words, '--accept-overload', node=operator.address)
+    assert accepted.returncode == 0
+    assert operator.intents[-1] == {'zones_out': ['ub2']}
+
+
+@pytest.mark.parametrize(
+    ('typed', 'code', 'confirmations'),
+    [('y\n', 0, 1), ('n\n', 1, 0), ('', 1, 0)],
+)
+def test_zone_asks(
+    operator: Operator,
+    typed: str,
+    code: int,
+    confirmations: int,
+):
+    """Guards against a zone that is taken out without consent."""
+    words = ('zone', 'out', 'ub2')
+    done = command(*words, node=operator.address, typed=typed)
+    assert done.returncode == code
+    assert len(operator.confirmed) == confirmations
+
+
+def test_bad_input(operator: Operator, tmp_path: pathlib.Path):
+    """Guards against bad input that is told without what to do."""
+    bad = tmp_path / 'bad.json'
+    bad.write_text('{}')
+    planned = command('plan', bad, node=operator.address)
+    assert planned.returncode == 2
+    assert 'zone: is not known' in planned.stderr
+    confirmed = command('confirm', bad, node=operator.address)
+    assert confirmed.returncode == 2
+    assert 'make it with "plan --out"' in confirmed.stderr
+    assert command('status', node='no-port').returncode == 2
+    assert command('plan', 'none', node=operator.address).returncode == 2
+
+
+def test_next_address_is_tried(operator: Operator):
+    """Guards against a command that depends on a single node."""
+    words = ('status', '--json', '--node', DEAD)
+    done = command(*words, node=operator.address)
+    assert done.returncode == 0, done.stderr
+    assert json.loads(done.stdout)['zones']['ub1']['lowest'] == 8
+
+
+def test_unreachable_nodes_are_listed():
+    """Guards against an unreachable node that looks like an empty status."""
+    done = command('status', node=DEAD)
+    assert done.returncode == 3
+    assert f'{DEAD}: connection refused' in done.stderr
--- a/packages/cli/bilberryrail/cli/commands.py
+++ b/packages/cli/bilberryrail/cli/commands.py
@@ -10,11 +10,18 @@
 
 from bilberryrail.cli import printing
 from bilberryrail.cli.client import OperatorClient, ReceivedPlan, parse_plan
-from bilberryrail.cli.errors import BadInput, ClientError, ExitCode, exit_code
+from bilberryrail.cli.errors import (
+    BadInput,
+    ClientError,
+    ExitCode,
+    Unreachable,
+    exit_code,
+)
 from bilberryrail.cli.messages import ChangeVerdict, Status
 from bilberryrail.cli.terminal import ask, complain, show
 
 POLL_INTERVAL_S = 0.2
+CONFIRM_AGAIN = 'Confirming the same plan again is safe.'
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,10 +129,12 @@
         return ExitCode.REJECTED
     deadline = session.clock.seconds() + options.wait_s
     match await session.client.confirm(received):
-        case Err(error):
-            return fail(error)
         case Ok(record_id):
             return await _follow(session, record_id, deadline)
+        case Err(error):
+            if isinstance(error, Unreachable):
+                complain(CONFIRM_AGAIN)
+            return fail(error)
 
 
 def fail(error: ClientError) -> ExitCode:
@@ -149,10 +158,7 @@
             complain(f'rejected: {reason}. Make a new plan and confirm it.')
             return ExitCode.REJECTED
         case _:
-            complain(
-                'no verdict yet; the log may be away. Confirming the same '
-                'plan again is safe.',
-            )
+            complain(f'no verdict yet; the log may be away. {CONFIRM_AGAIN}')
             return ExitCode.NOT_YET_IN_FORCE
 
 
--- a/packages/cli/bilberryrail/cli/printing.py
+++ b/packages/cli/bilberryrail/cli/printing.py
@@ -24,6 +24,7 @@
 def status_lines(status: Status) -> Iterator[str]:
     """Tell how far each availability zone has applied the log."""
     yield f'Node {status.node} has applied offset {status.applied}'
+    yield f'Log: {status.log}'
     for name, zone in sorted(status.zones.items()):
         yield f'  {zone_line(name, zone)}'
     yield from not_heard_lines(status)
--- a/packages/standins/bilberryrail/standins/demo.py
+++ b/packages/standins/bilberryrail/standins/demo.py
@@ -6,6 +6,7 @@
 executed twice, answered wrongly, or dispatched in the zone that was out.
 """
 
+import subprocess
 import sys
 import time
 from dataclasses import dataclass
@@ -23,7 +24,7 @@
     start_system,
 )
 from bilberryrail.standins.deployments import load_deployment, place
-from bilberryrail.standins.processes import Children, ProcessError
+from bilberryrail.standins.processes import Child, Children, ProcessError
 
 #: Invariant 3: a zone that is out gets no new work after this time.
 ZONE_OUT_S = 3.0
@@ -32,6 +33,10 @@
 RETURN_AT = 0.65
 #: Time that the last calls and their patience may take after the load.
 LOAD_END_S = 20.0
+#: Shortest load that leaves time to watch a zone that is out.
+MIN_SECONDS = 12
+#: Least time for which a zone that is out is watched for new work.
+WATCH_S = 2.0
 DRAIN_TIMEOUT_S = 15.0
 
 
@@ -75,7 +80,7 @@
 
 
 def main(
-    seconds: Annotated[float, typer.Option(min=12, max=60)] = 30,
+    seconds: Annotated[float, typer.Option(min=MIN_SECONDS, max=60)] = 30,
     seed: int = 1,
     rate: Annotated[float, typer.Option(min=1)] = 60,
     deployment: str = 'tsagaan-tal',
@@ -145,14 +150,13 @@
         str(report_path),
     )
     late = _cycle_zone(system, zone, started_at, options.seconds)
-    load.process.wait(options.seconds + LOAD_END_S)
-    if not report_path.exists():
-        raise DemoError(f'the load gave no report:\n{load.tail()}')
+    _wait_for_load(load, options.seconds + LOAD_END_S)
+    report = msgspec.json.decode(report_path.read_bytes(), type=LoadReport)
     excess = system.cold_excess()
     _say('draining every node')
     statuses = system.children.stop(system.nodes)
     return Findings(
-        load=msgspec.json.decode(report_path.read_bytes(), type=LoadReport),
+        load=report,
         zone=zone,
         late_in_zone=late,
         cold_excess=excess,
@@ -160,6 +164,15 @@
     )
 
 
+def _wait_for_load(load: Child, timeout_s: float) -> None:
+    try:
+        status = load.process.wait(timeout_s)
+    except subprocess.TimeoutExpired as error:
+        raise DemoError(f'the load did not end:\n{load.tail()}') from error
+    if status:
+        raise DemoError(f'the load ended with {status}:\n{load.tail()}')
+
+
 def _cycle_zone(
     system: System,
     zone: AvailabilityZoneId,
@@ -172,7 +185,8 @@
     typer.echo(system.command('zone', 'out', zone, '--yes'))
     time.sleep(ZONE_OUT_S)
     before = system.executions_in(zone)
-    _sleep_until(started_at + seconds * RETURN_AT)
+    watched_until = time.monotonic() + WATCH_S
+    _sleep_until(max(started_at + seconds * RETURN_AT, watched_until))
     late = system.executions_in(zone) - before
     _say(f'bringing {zone} back')
     typer.echo(system.command('zone', 'in', zone, '--yes'))
--- a/packages/standins/bilberryrail/standins/demo_system.py
+++ b/packages/standins/bilberryrail/standins/demo_system.py
@@ -2,7 +2,6 @@
 
 import subprocess
 import sys
-import urllib.request
 from dataclasses import dataclass
 
 import msgspec
@@ -13,6 +12,7 @@
     first_intent,
     node_settings,
 )
+from bilberryrail.standins.endpoint import Endpoint
 from bilberryrail.standins.load_settings import LoadService, LoadSettings
 from bilberryrail.standins.processes import LOOPBACK, Child, Children
 
@@ -20,7 +20,6 @@
 #: that leaves, so there are several.
 OPERATOR_ADDRESSES = 3
 COMMAND_TIMEOUT_S = 40
-QUERY_TIMEOUT_S = 5
 
 
 class DemoError(Exception):
@@ -117,9 +116,8 @@
         )
 
     def _count(self, port: int) -> ExecutionCount:
-        url = f'http://{LOOPBACK}:{port}/executions'
-        with urllib.request.urlopen(url, timeout=QUERY_TIMEOUT_S) as answer:
-            return msgspec.json.decode(answer.read(), type=ExecutionCount)
+        _, body = Endpoint(port).send('GET', '/executions')
+        return msgspec.json.decode(body, type=ExecutionCount)
 
 
 def start_system(plan: DeploymentPlan, children: Children) -> System:
