End the demo's children on SIGTERM; require the outcome header

Cause: SIGTERM left the demo's child processes behind, and an error answer without Bilberryrail-Outcome counted as completed. Change: the demo turns SIGTERM into an interrupt; such an answer now counts as an unknown outcome.

--- a/packages/standins/bilberryrail/standins/caller_http.py
+++ b/packages/standins/bilberryrail/standins/caller_http.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import msgspec
 import treq
@@ -110,7 +111,10 @@
             timeout=timeout_s,
         )
         received = await treq.content(response)
-        outcome = _header(response, 'Bilberryrail-Outcome', 'completed')
+        # Without the header only success proves that the call completed.
+        failed = response.code >= HTTPStatus.BAD_REQUEST
+        default = 'unknown' if failed else 'completed'
+        outcome = _header(response, 'Bilberryrail-Outcome', default)
         if outcome == 'completed':
             return Completed(response.code, received)
         reason = _header(response, 'Bilberryrail-Reason', 'none')
--- a/packages/standins/bilberryrail/standins/demo.py
+++ b/packages/standins/bilberryrail/standins/demo.py
@@ -6,6 +6,7 @@
 executed twice, answered wrongly, or dispatched in the zone that was out.
 """
 
+import signal
 import subprocess
 import sys
 import time
@@ -86,6 +87,8 @@
     deployment: str = 'tsagaan-tal',
 ) -> None:
     """Run the demo; ends by itself in under two minutes."""
+    # Ended by SIGTERM, the demo still ends its children.
+    signal.signal(signal.SIGTERM, _interrupt)
     options = Options(seconds, seed, rate, deployment)
     try:
         findings = run_demo(options)
@@ -201,6 +204,10 @@
     return f'{load.p50_ms:.1f} / {load.p99_ms:.1f} / {load.max_ms:.1f}'
 
 
+def _interrupt(number: int, frame: object) -> None:
+    raise KeyboardInterrupt
+
+
 def _say(step: str) -> None:
     typer.echo(f'--- {step}')
 
