Add the ingress half of the decision library

Cause: nodes need target choice, probes, retries and the life of calls as decisions without I/O.

Conclusion: the engine can be composed on top of these modules.

--- /dev/null
+++ b/packages/policy/bilberryrail/policy/calls.py
@@ -0,0 +1,189 @@
+"""State of the calls that an ingress has accepted and not yet ended."""
+
+import heapq
+from dataclasses import dataclass, field
+from enum import Enum
+
+from bilberryrail.core.ids import (
+    AttemptId,
+    CallId,
+    NodeId,
+    RegionId,
+    Seconds,
+    TenantId,
+)
+from bilberryrail.core.load import Outcome, Reason
+from bilberryrail.core.records import Member, ServiceConfig
+from bilberryrail.policy.events import CallLimits, DispatchId, Token
+from bilberryrail.policy.retries import Budget
+
+
+class CallKind(Enum):
+    """What the caller asked for."""
+
+    CALL = 'call'
+    RESERVATION = 'reservation'
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a call is not answered, and when to come back."""
+
+    outcome: Outcome
+    reason: Reason
+    retry_after_s: float
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One try of a call at one target.
+
+    Attributes
+    ----------
+    sent_at
+        When it was sent; None while it waits for the link to the target.
+    share
+        Part of the tree budget that went with it.
+    """
+
+    attempt: AttemptId
+    call: 'Call'
+    member: Member
+    share: int
+    sent_at: Seconds | None = None
+
+
+@dataclass(slots=True)
+class Call:
+    """One caller's call.
+
+    Attributes
+    ----------
+    home_regions
+        Regions that may serve it; empty allows every region.
+    pinned
+        Node that its token names.
+    sent_count
+        Attempts that reached a target, or still wait for a link to one.
+    may_have_run
+        Whether a finished attempt may have started.
+    """
+
+    call: CallId
+    kind: CallKind
+    service: ServiceConfig
+    tenant: TenantId
+    size: int
+    deadline_at: Seconds
+    home_regions: tuple[RegionId, ...]
+    budget: Budget
+    token: Token | None = None
+    pinned: NodeId | None = None
+    parent: DispatchId | None = None
+    attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
+    tried: set[NodeId] = field(default_factory=set)
+    sent_count: int = 0
+    may_have_run: bool = False
+    hedged: bool = False
+    last_refusal: Refusal | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may be sent again after a possible start."""
+        if self.kind is CallKind.RESERVATION:
+            return True
+        return self.service.idempotent and self.token is None
+
+    @property
+    def may_run(self) -> bool:
+        """Whether any attempt, finished or not, may have started."""
+        return self.may_have_run or any(
+            attempt.sent_at is not None for attempt in self.attempts.values()
+        )
+
+    def remaining_s(self, now: Seconds) -> float:
+        """Return the time until the deadline."""
+        return self.deadline_at - now
+
+    def limits(self, share: int, now: Seconds) -> CallLimits:
+        """Return what an attempt sent now may use."""
+        return CallLimits(
+            remaining_s=self.remaining_s(now),
+            retry_budget=share,
+            home_regions=self.home_regions,
+        )
+
+
+class TimerKind(Enum):
+    """What is due for a call."""
+
+    DEADLINE = 'deadline'
+    HEDGE = 'hedge'
+
+
+class CallTable:
+    """Calls, their attempts and their timers, by id."""
+
+    def __init__(self) -> None:
+        self.calls: dict[CallId, Call] = {}
+        self.attempts: dict[AttemptId, Attempt] = {}
+        self.nested: dict[DispatchId, set[CallId]] = {}
+        self._timers: list[tuple[Seconds, CallId, str]] = []
+
+    def add(self, call: Call) -> None:
+        """Add a call and its deadline."""
+        self.calls[call.call] = call
+        self.set_timer(call, TimerKind.DEADLINE, call.deadline_at)
+        if call.parent is not None:
+            self.nested.setdefault(call.parent, set()).add(call.call)
+
+    def remove(self, call: Call) -> None:
+        """Remove a call; its timers are skipped when they are due."""
+        self.calls.pop(call.call)
+        if call.parent is not None:
+            siblings = self.nested[call.parent]
+            siblings.discard(call.call)
+            if not siblings:
+                self.nested.pop(call.parent)
+
+    def add_attempt(self, attempt: Attempt) -> None:
+        """Add an attempt to its call."""
+        call = attempt.call
+        self.attempts[attempt.attempt] = attempt
+        call.attempts[attempt.attempt] = attempt
+        call.tried.add(attempt.member.node)
+        call.sent_count += 1
+
+    def remove_attempt(self, attempt: Attempt) -> None:
+        """Remove an attempt from its call."""
+        self.attempts.pop(attempt.attempt)
+        attempt.call.attempts.pop(attempt.attempt)
+        if attempt.sent_at is None:
+            attempt.call.sent_count -= 1
+
+    def at_peer(self, peer: NodeId) -> tuple[Attempt, ...]:
+        """List the attempts at a peer, oldest first."""
+        return tuple(
+            attempt
+            for attempt in self.attempts.values()
+            if attempt.member.node == peer
+        )
+
+    def set_timer(self, call: Call, kind: TimerKind, due_at: Seconds) -> None:
+        """Set a timer of a call."""
+        heapq.heappush(self._timers, (due_at, call.call, kind.value))
+
+    def pop_due(self, now: Seconds) -> tuple[Call, TimerKind] | None:
+        """Take the next timer that is due, if there is one."""
+        while self._timers and self._timers[0][0] <= now:
+            _, call_id, kind = heapq.heappop(self._timers)
+            call = self.calls.get(call_id)
+            if call is not None:
+                return call, TimerKind(kind)
+        return None
+
+    def next_due(self) -> Seconds | None:
+        """Return when the next timer of a live call is due."""
+        while self._timers and self._timers[0][1] not in self.calls:
+            heapq.heappop(self._timers)
+        return self._timers[0][0] if self._timers else None
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/ingress.py
@@ -0,0 +1,301 @@
+"""Ingress role: the life of calls from their arrival to their only end."""
+
+import math
+from random import Random
+from typing import Final
+
+from result import Err
+
+from bilberryrail.control.messages import (
+    CloseLink,
+    DrainRequested,
+    LinkDown,
+    LinkUp,
+    Tick,
+)
+from bilberryrail.core.ids import AttemptId, NodeId, Seconds
+from bilberryrail.core.load import LoadReport, Outcome, Reason
+from bilberryrail.policy import events
+from bilberryrail.policy.actions import (
+    Action,
+    CompleteCall,
+    GrantReservation,
+)
+from bilberryrail.policy.calls import (
+    Attempt,
+    Call,
+    CallTable,
+    Refusal,
+    TimerKind,
+)
+from bilberryrail.policy.intake import (
+    RETRY_AFTER_S,
+    Arrival,
+    Intake,
+    TokenTarget,
+)
+from bilberryrail.policy.lifecycle import CallLife
+from bilberryrail.policy.retries import CallLedger, RetryPolicy
+from bilberryrail.policy.sending import Sender
+from bilberryrail.policy.settings import EngineSettings
+from bilberryrail.policy.view import ClusterView
+
+#: HTTP status from which an answer counts as an error of its target.
+_SERVER_ERROR: Final = 500
+
+
+class IngressRole:
+    """Accepts calls from callers and sends them to targets.
+
+    Parameters
+    ----------
+    ledger
+        Ledger of the dispatches at this node, for nested calls.
+    token_target
+        Names the node that a reservation token was issued by.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        random: Random,
+        ledger: CallLedger,
+        token_target: TokenTarget,
+    ) -> None:
+        self.settings = settings
+        self.table = CallTable()
+        self.retries = RetryPolicy(settings.retries)
+        self.intake = Intake(
+            settings.identity,
+            settings.retries,
+            ledger,
+            token_target,
+        )
+        self.sender = Sender(settings, random, self.table, self.retries)
+        self.life = CallLife(self.sender, ledger)
+        self.draining = False
+        self._view: ClusterView | None = None
+
+    @property
+    def wakeup_at(self) -> Seconds:
+        """When the next deadline or hedge is due.
+
+        Suspicion and probes are checked at the ticks of the engine.
+        """
+        due_at = self.table.next_due()
+        return Seconds(math.inf) if due_at is None else due_at
+
+    @property
+    def idle(self) -> bool:
+        """Whether no call is in flight."""
+        return not self.table.calls
+
+    def handle(
+        self,
+        event: events.Event,
+        now: Seconds,
+        view: ClusterView,
+    ) -> tuple[Action, ...]:
+        """Handle an event; events of other parts are ignored."""
+        if view is not self._view:
+            self._follow(view)
+        match event:
+            case events.CallArrived() | events.ReservationAsked():
+                self._arrive(event, now, view)
+            case events.CallerGone():
+                self.life.end(event.call, None)
+            case events.AnswerReceived():
+                self._answer(event, now)
+            case events.RefusalReceived():
+                self._refuse(event, now, view)
+            case events.ReservationGranted():
+                self._grant(event, now)
+            case events.ProbeReplied():
+                self.sender.prober.replied(
+                    event.peer,
+                    event.probe,
+                    event.load,
+                    now,
+                )
+            case LinkUp():
+                self._link_up(event.member.node, now)
+            case LinkDown():
+                self._link_down(event.peer, now, view)
+            case DrainRequested():
+                self.draining = True
+            case Tick():
+                self._tick(now, view)
+        return self._take_actions()
+
+    def cancel_nested(
+        self,
+        dispatch: events.DispatchId,
+    ) -> tuple[Action, ...]:
+        """End the nested calls of a dispatch that was given up."""
+        for call_id in tuple(self.table.nested.get(dispatch, ())):
+            call = self.table.calls[call_id]
+            self.life.give_up(call, Reason.CANCELLED)
+        return self._take_actions()
+
+    def resumed(self, now: Seconds) -> None:
+        """Blame no target for silence during this node's own pause."""
+        self.sender.book.resumed(now)
+        self.sender.prober.resumed()
+
+    def needs_link(self, peer: NodeId) -> bool:
+        """Tell whether a link to a peer is kept for calls."""
+        return peer in self.sender.links
+
+    def _take_actions(self) -> tuple[Action, ...]:
+        actions = tuple(self.sender.actions)
+        self.sender.actions.clear()
+        return actions
+
+    def _follow(self, view: ClusterView) -> None:
+        """Forget nodes that are no longer members."""
+        self._view = view
+        known = {*self.sender.book.estimates, *self.sender.links}
+        for node in known - {self.settings.identity.node}:
+            if view.member(node) is None and not self.table.at_peer(node):
+                self.sender.book.forget(node)
+                if self.sender.links.pop(node, None) is not None:
+                    self.sender.actions.append(CloseLink(node))
+
+    def _arrive(
+        self,
+        arrival: Arrival,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        if self.draining and arrival.parent is None:
+            refusal = Refusal(
+                Outcome.NOT_RUN,
+                Reason.DRAINING,
+                RETRY_AFTER_S,
+            )
+            self.life.reject(arrival.call, refusal)
+            return
+        admitted = self.intake.admit(arrival, now, view)
+        if isinstance(admitted, Err):
+            self.life.reject(arrival.call, admitted.err_value)
+            return
+        self.life.start(admitted.ok_value, now, view)
+
+    def _answer(self, event: events.AnswerReceived, now: Seconds) -> None:
+        attempt = self._find(event.peer, event.attempt)
+        if attempt is not None:
+            self.sender.answered(attempt, event.size, now)
+            if event.status >= _SERVER_ERROR:
+                self.sender.book.failed(event.peer)
+        self._heard(event.peer, event.load, now)
+        if attempt is None:
+            return
+        call = attempt.call
+        self.sender.release(attempt, ran=True)
+        self.life.end(
+            call.call,
+            CompleteCall(
+                call.call,
+                event.peer,
+                event.attempt,
+                event.status,
+            ),
+        )
+
+    def _grant(self, event: events.ReservationGranted, now: Seconds) -> None:
+        attempt = self._find(event.peer, event.attempt)
+        self._heard(event.peer, event.load, now)
+        if attempt is None:
+            return
+        call = attempt.call
+        self.sender.release(attempt, ran=True)
+        self.life.end(call.call, GrantReservation(call.call, event.token))
+
+    def _refuse(
+        self,
+        event: events.RefusalReceived,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        attempt = self._find(event.peer, event.attempt)
+        if attempt is not None:
+            self.sender.book.failed(event.peer)
+        self._heard(event.peer, event.load, now)
+        if attempt is None:
+            return
+        call = attempt.call
+        refusal = Refusal(event.outcome, event.reason, event.retry_after_s)
+        # The caller cannot help it when a member changed its service.
+        misrouted = event.reason is Reason.WRONG_SERVICE and not call.pinned
+        if event.outcome is Outcome.INVALID and not misrouted:
+            self.sender.release(attempt, ran=False)
+            self._invalid(call, refusal)
+        else:
+            self.life.lose(attempt, refusal, now, view)
+
+    def _invalid(self, call: Call, refusal: Refusal) -> None:
+        """End a call that a target found invalid."""
+        if call.may_run:
+            self.life.give_up(call, refusal.reason)
+        else:
+            self.life.end(call.call, None)
+            self.life.reject(call.call, refusal)
+
+    def _link_up(self, peer: NodeId, now: Seconds) -> None:
+        self.sender.links[peer] = True
+        self._heard(peer, None, now)
+        for attempt in self.table.at_peer(peer):
+            if attempt.sent_at is None:
+                self.sender.send(attempt, now)
+
+    def _link_down(
+        self,
+        peer: NodeId,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        self.sender.links.pop(peer, None)
+        if peer in self.sender.book.estimates:
+            self.sender.book.suspect(peer, now)
+        for attempt in self.table.at_peer(peer):
+            sent = attempt.sent_at is not None
+            # The target could not be asked whether a token has run before.
+            unknown = sent or attempt.call.pinned is not None
+            outcome = Outcome.UNKNOWN if unknown else Outcome.NOT_RUN
+            if sent:
+                self.sender.book.failed(peer)
+            refusal = Refusal(outcome, Reason.LINK_LOST, RETRY_AFTER_S)
+            self.life.lose(attempt, refusal, now, view)
+
+    def _tick(self, now: Seconds, view: ClusterView) -> None:
+        due = self.table.pop_due(now)
+        while due is not None:
+            call, kind = due
+            if kind is TimerKind.DEADLINE:
+                self.life.expire(call)
+            else:
+                self.life.hedge(call, now, view)
+            due = self.table.pop_due(now)
+        patience_s = self.settings.routing.suspect_after_s
+        for silent in tuple(self.sender.book.newly_silent(now)):
+            self.life.log('suspect', target=silent, evidence='attempt')
+            self.life.leave_silent(silent, now, view)
+        for lost in self.sender.prober.lost(now, patience_s):
+            self.life.log('suspect', target=lost, evidence='probe')
+        self.sender.probe_suspect(now, view)
+
+    def _heard(
+        self,
+        peer: NodeId,
+        load: LoadReport | None,
+        now: Seconds,
+    ) -> None:
+        if peer in self.sender.book.estimates:
+            self.sender.book.heard(peer, load, now)
+
+    def _find(self, peer: NodeId, attempt_id: AttemptId) -> Attempt | None:
+        """Return an attempt in flight; late and crossed answers find none."""
+        attempt = self.table.attempts.get(attempt_id)
+        if attempt is None or attempt.member.node != peer:
+            return None
+        return None if attempt.sent_at is None else attempt
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/lifecycle.py
@@ -0,0 +1,172 @@
+"""Steps in the life of a call: first target, retries, hedge and its one end."""
+
+from bilberryrail.control.messages import LogEvent
+from bilberryrail.core.ids import CallId, NodeId, Seconds
+from bilberryrail.core.load import Outcome, Reason
+from bilberryrail.policy.actions import Action, RejectCall
+from bilberryrail.policy.calls import Attempt, Call, Refusal
+from bilberryrail.policy.intake import RETRY_AFTER_S
+from bilberryrail.policy.retries import CallLedger
+from bilberryrail.policy.sending import Sender
+from bilberryrail.policy.view import ClusterView
+
+
+class CallLife:
+    """Moves calls on; appends what is to be done to ``Sender.actions``."""
+
+    def __init__(self, sender: Sender, ledger: CallLedger) -> None:
+        self.sender = sender
+        self.ledger = ledger
+        self.table = sender.table
+        self.retries = sender.retries
+
+    def start(self, call: Call, now: Seconds, view: ClusterView) -> None:
+        """Send a new call to its first target, or end it if there is none."""
+        self.table.add(call)
+        if call.parent is not None:
+            self.ledger.attach(call.parent, call.call)
+        self.retries.call_started()
+        choice = self.sender.choose(call, now, view)
+        if choice is not None:
+            self.sender.place(call, choice, 'first', now, view)
+        elif call.pinned is None:
+            self.give_up(call, Reason.NO_TARGET)
+        else:
+            # A token whose node is gone may have run there before.
+            call.may_have_run = True
+            self.give_up(call, Reason.OTHER_INCARNATION)
+
+    def lose(
+        self,
+        attempt: Attempt,
+        refusal: Refusal,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        """Take an attempt without an answer and go on with its call."""
+        call = attempt.call
+        may_have_run = refusal.outcome is Outcome.UNKNOWN
+        call.last_refusal = refusal
+        call.may_have_run = call.may_have_run or may_have_run
+        self.sender.release(attempt, ran=may_have_run)
+        # Another attempt in flight may still answer.
+        if not call.attempts and not self._retry(call, now, view):
+            self.give_up(call, Reason.NO_TARGET)
+
+    def hedge(self, call: Call, now: Seconds, view: ClusterView) -> None:
+        """Send a slow call to a second target as well."""
+        if call.hedged or not call.repeatable or len(call.attempts) != 1:
+            return
+        call.hedged = self._send_again(call, 'hedge', now, view)
+
+    def leave_silent(
+        self,
+        peer: NodeId,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        """Look for other targets for the calls at a silent one."""
+        for attempt in self.table.at_peer(peer):
+            call = attempt.call
+            if attempt.sent_at is not None:
+                self.hedge(call, now, view)
+            elif call.pinned is None:
+                refusal = Refusal(
+                    Outcome.NOT_RUN,
+                    Reason.LINK_LOST,
+                    RETRY_AFTER_S,
+                )
+                self.lose(attempt, refusal, now, view)
+
+    def expire(self, call: Call) -> None:
+        """End a call at its deadline; it counts against its targets."""
+        for attempt in call.attempts.values():
+            if attempt.sent_at is not None:
+                self.sender.book.failed(attempt.member.node)
+        call.last_refusal = None
+        self.give_up(call, Reason.DEADLINE)
+
+    def give_up(self, call: Call, reason: Reason) -> None:
+        """End a call without an answer.
+
+        Parameters
+        ----------
+        reason
+            Used if no target gave one.
+        """
+        refusal = call.last_refusal or Refusal(
+            Outcome.NOT_RUN,
+            reason,
+            RETRY_AFTER_S,
+        )
+        outcome = Outcome.UNKNOWN if call.may_run else Outcome.NOT_RUN
+        self.end(call.call, None)
+        self.reject(
+            call.call,
+            Refusal(
+                outcome,
+                refusal.reason,
+                refusal.retry_after_s or RETRY_AFTER_S,
+            ),
+        )
+
+    def reject(self, call: CallId, refusal: Refusal) -> None:
+        """Refuse a call; the log line names no tenant."""
+        self.log(
+            'refuse',
+            call=call,
+            outcome=refusal.outcome.value,
+            reason=refusal.reason.value,
+        )
+        self.sender.actions.append(
+            RejectCall(
+                call,
+                refusal.outcome,
+                refusal.reason,
+                refusal.retry_after_s,
+            ),
+        )
+
+    def end(self, call_id: CallId, action: Action | None) -> None:
+        """End a call once: cancel what is in flight, then tell the caller."""
+        call = self.table.calls.get(call_id)
+        if call is None:
+            return
+        for attempt in tuple(call.attempts.values()):
+            self.sender.cancel(attempt)
+        self.table.remove(call)
+        if call.parent is not None:
+            self.ledger.detach(call.call)
+        if action is not None:
+            self.sender.actions.append(action)
+
+    def log(self, name: str, **fields: object) -> None:
+        """Write one log line."""
+        self.sender.actions.append(LogEvent(name, fields))
+
+    def _retry(self, call: Call, now: Seconds, view: ClusterView) -> bool:
+        if call.may_have_run and not call.repeatable:
+            return False
+        return self._send_again(call, 'retry', now, view)
+
+    def _send_again(
+        self,
+        call: Call,
+        trigger: str,
+        now: Seconds,
+        view: ClusterView,
+    ) -> bool:
+        """Send a call once more, paying if an attempt may have started."""
+        if call.pinned is not None:
+            return False
+        if call.sent_count >= self.retries.settings.max_attempts:
+            return False
+        if call.may_run and not self.retries.may_pay(call.budget, now):
+            return False
+        choice = self.sender.choose(call, now, view)
+        if choice is None:
+            return False
+        if call.may_run and not self.retries.pay(call.budget, now):
+            return False
+        self.sender.place(call, choice, trigger, now, view)
+        return True
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/quantiles.py
@@ -0,0 +1,62 @@
+"""Streaming latency quantile of a service, on ``hdrhistogram``."""
+
+from typing import Final
+
+from hdrh.histogram import HdrHistogram
+
+#: Unit of the histogram, 10 us. With one significant digit a histogram then
+#: holds 100 s in a few hundred counters.
+_UNITS_PER_S: Final = 100_000
+_HIGHEST: Final = 10_000_000
+_DIGITS: Final = 1
+#: Answers after which older ones start to be forgotten.
+_WINDOW: Final = 1024
+#: Answers needed before the quantile is believed.
+_ENOUGH: Final = 20
+#: Answers between two computations; one costs about 60 us.
+_REFRESH: Final = 32
+_PERCENT: Final = 100
+
+
+class LatencyQuantile:
+    """A quantile over one to two windows of recent answers.
+
+    Parameters
+    ----------
+    quantile
+        From 0 to 1.
+
+    Attributes
+    ----------
+    estimate_s
+        The quantile in seconds; None until there are enough answers.
+    """
+
+    def __init__(self, quantile: float) -> None:
+        self.quantile = quantile
+        self.estimate_s: float | None = None
+        self._recent = _histogram()
+        self._older = _histogram()
+
+    def add(self, latency_s: float) -> None:
+        """Add the latency of one answer."""
+        units = max(1, min(_HIGHEST, int(latency_s * _UNITS_PER_S)))
+        self._recent.record_value(units)
+        count = self._recent.get_total_count()
+        if count == _ENOUGH or count % _REFRESH == 0:
+            self._refresh()
+        if count >= _WINDOW:
+            self._older = self._recent
+            self._recent = _histogram()
+
+    def _refresh(self) -> None:
+        merged = _histogram()
+        merged.add(self._older)
+        merged.add(self._recent)
+        if merged.get_total_count() >= _ENOUGH:
+            units = merged.get_value_at_percentile(self.quantile * _PERCENT)
+            self.estimate_s = units / _UNITS_PER_S
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, _HIGHEST, _DIGITS)
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/routing.py
@@ -0,0 +1,281 @@
+"""Choice of a target among the candidates of a service.
+
+The cost of a choice does not grow with the number of candidates: it looks at
+the probe pool and at a few candidates drawn by index.
+"""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+from functools import partial
+from random import Random
+from typing import Final
+
+from bilberryrail.core.ids import NodeId, RegionId, Seconds, ServiceId
+from bilberryrail.core.records import Member, ServiceConfig
+from bilberryrail.policy.buckets import TokenBucket
+from bilberryrail.policy.estimates import EstimateBook
+from bilberryrail.policy.settings import RoutingSettings
+from bilberryrail.policy.view import ClusterView
+
+#: Random candidates that a choice compares.
+_CHOICES: Final = 2
+#: Draws before giving up on finding candidates that are not avoided. With a
+#: third of them avoided, all twelve fail in two of a million choices.
+_DRAWS: Final = 12
+#: Neighbours looked at when all draws hit avoided candidates.
+_SCAN: Final = 64
+
+
+class RouteReason(Enum):
+    """Why a target was chosen."""
+
+    LOCAL = 'local'
+    FASTER_REGION = 'faster-region'
+    NO_LOCAL = 'no-local-candidate'
+    ALL_SUSPECTED = 'all-suspected'
+    TOKEN = 'token'
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """Candidates of a service within some home regions."""
+
+    local: tuple[Member, ...]
+    remote: tuple[Member, ...]
+    by_node: dict[NodeId, Member]
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a target is needed for.
+
+    Attributes
+    ----------
+    avoid
+        Nodes that already had this call.
+    remaining_s
+        Time until the deadline, which an error counts for.
+    """
+
+    service: ServiceConfig
+    home_regions: tuple[RegionId, ...]
+    avoid: frozenset[NodeId]
+    remaining_s: float
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A chosen target and the estimate that decided."""
+
+    member: Member
+    reason: RouteReason
+    expected_s: float
+
+
+class CandidateIndex:
+    """Groups of candidates, computed once for each view."""
+
+    def __init__(self, region: RegionId) -> None:
+        self.region = region
+        self._view: ClusterView | None = None
+        self._groups: dict[tuple[ServiceId, tuple[RegionId, ...]], Group] = {}
+
+    def group(
+        self,
+        service: ServiceId,
+        home_regions: tuple[RegionId, ...],
+        view: ClusterView,
+    ) -> Group:
+        """Return the candidates of a service within home regions."""
+        if view is not self._view:
+            self._view = view
+            self._groups.clear()
+        key = (service, home_regions)
+        group = self._groups.get(key)
+        if group is None:
+            group = self._make(view.candidates(service, home_regions))
+            self._groups[key] = group
+        return group
+
+    def _make(self, members: tuple[Member, ...]) -> Group:
+        return Group(
+            local=tuple(
+                member for member in members if member.region == self.region
+            ),
+            remote=tuple(
+                member for member in members if member.region != self.region
+            ),
+            by_node={member.node: member for member in members},
+        )
+
+
+class Router:
+    """Chooses targets by estimated time to answer.
+
+    Parameters
+    ----------
+    region
+        Region of this node.
+    """
+
+    def __init__(
+        self,
+        settings: RoutingSettings,
+        region: RegionId,
+        book: EstimateBook,
+        random: Random,
+    ) -> None:
+        self.settings = settings
+        self.region = region
+        self.book = book
+        self.random = random
+        self.link = TokenBucket(
+            settings.link_bytes_per_s,
+            settings.link_bytes_per_s,
+        )
+
+    def choose(
+        self,
+        demand: Demand,
+        group: Group,
+        probed: Iterable[NodeId],
+        now: Seconds,
+    ) -> Choice | None:
+        """Choose a target, or none if every candidate is to be avoided.
+
+        Parameters
+        ----------
+        probed
+            Nodes in the probe pool of the service.
+        """
+        pool = tuple(self._usable(demand, group, probed))
+        local = self._best(demand, group.local, pool)
+        if local is None:
+            return self._without_local(demand, group, pool)
+        return self._with_local(demand, group, pool, local, now)
+
+    def charge(self, member: Member, size: int, now: Seconds) -> None:
+        """Charge the link budget if a message leaves the region."""
+        if member.region != self.region:
+            self.link.charge(size, now)
+
+    def _with_local(
+        self,
+        demand: Demand,
+        group: Group,
+        pool: tuple[Member, ...],
+        local: tuple[float, Member],
+        now: Seconds,
+    ) -> Choice:
+        local_s, member = local
+        distance_s = self.settings.region_distance_s
+        worth_it = local_s > distance_s and self.link.holds(demand.size, now)
+        remote = self._best(demand, group.remote, pool) if worth_it else None
+        if remote is not None and remote[0] + distance_s < local_s:
+            return Choice(remote[1], RouteReason.FASTER_REGION, remote[0])
+        return Choice(member, RouteReason.LOCAL, local_s)
+
+    def _without_local(
+        self,
+        demand: Demand,
+        group: Group,
+        pool: tuple[Member, ...],
+    ) -> Choice | None:
+        remote = self._best(demand, group.remote, pool)
+        if remote is not None:
+            return Choice(remote[1], RouteReason.NO_LOCAL, remote[0])
+        return self._untried(demand, group)
+
+    def _untried(self, demand: Demand, group: Group) -> Choice | None:
+        """Choose among candidates that are suspected rather than none."""
+        for members in (group.local, group.remote):
+            drawn = self._draw(members, partial(_is_untried, demand))
+            if drawn:
+                return Choice(
+                    drawn[0],
+                    RouteReason.ALL_SUSPECTED,
+                    demand.remaining_s,
+                )
+        return None
+
+    def _best(
+        self,
+        demand: Demand,
+        members: tuple[Member, ...],
+        pool: tuple[Member, ...],
+    ) -> tuple[float, Member] | None:
+        if not members:
+            return None
+        found = self._draw(members, partial(self._fits, demand))
+        is_local = members[0].region == self.region
+        found.extend(
+            member
+            for member in pool
+            if (member.region == self.region) is is_local
+        )
+        if not found:
+            return None
+        return min(
+            ((self._expected_s(demand, member), member) for member in found),
+            key=lambda scored: scored[0],
+        )
+
+    def _usable(
+        self,
+        demand: Demand,
+        group: Group,
+        probed: Iterable[NodeId],
+    ) -> Iterator[Member]:
+        for node in probed:
+            member = group.by_node.get(node)
+            if member is not None and self._fits(demand, member):
+                yield member
+
+    def _draw(
+        self,
+        members: tuple[Member, ...],
+        fits: Callable[[Member], bool],
+    ) -> list[Member]:
+        """Draw up to two distinct members at a cost that stays flat."""
+        count = len(members)
+        found: list[Member] = []
+        for _ in range(_DRAWS if count else 0):
+            member = members[int(self.random.random() * count)]
+            if member not in found and fits(member):
+                found.append(member)
+                if len(found) == _CHOICES:
+                    return found
+        return found or self._scan(members, fits)
+
+    def _scan(
+        self,
+        members: tuple[Member, ...],
+        fits: Callable[[Member], bool],
+    ) -> list[Member]:
+        count = len(members)
+        start = int(self.random.random() * count)
+        for step in range(min(count, _SCAN)):
+            member = members[(start + step) % count]
+            if fits(member):
+                return [member]
+        return []
+
+    def _fits(self, demand: Demand, member: Member) -> bool:
+        if not _is_untried(demand, member):
+            return False
+        estimate = self.book.of(member.node)
+        if estimate.suspected:
+            return False
+        return estimate.load is None or not estimate.load.draining
+
+    def _expected_s(self, demand: Demand, member: Member) -> float:
+        return self.book.of(member.node).expected_s(
+            demand.remaining_s,
+            demand.service.limits.cold_slots,
+        )
+
+
+def _is_untried(demand: Demand, member: Member) -> bool:
+    return member.node not in demand.avoid
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/sending.py
@@ -0,0 +1,267 @@
+"""Sends attempts and probes of an ingress and keeps their books."""
+
+from random import Random
+from typing import Final
+
+from bilberryrail.control.messages import LogEvent, OpenLink
+from bilberryrail.core.ids import AttemptId, NodeId, Seconds
+from bilberryrail.core.records import Member
+from bilberryrail.policy.actions import (
+    Action,
+    SendAttempt,
+    SendCancel,
+    SendProbe,
+    SendReservation,
+)
+from bilberryrail.policy.calls import (
+    Attempt,
+    Call,
+    CallKind,
+    CallTable,
+    TimerKind,
+)
+from bilberryrail.policy.estimates import EstimateBook
+from bilberryrail.policy.probing import Prober
+from bilberryrail.policy.quantiles import LatencyQuantile
+from bilberryrail.policy.retries import RetryPolicy
+from bilberryrail.policy.routing import (
+    CandidateIndex,
+    Choice,
+    Demand,
+    Group,
+    Router,
+    RouteReason,
+)
+from bilberryrail.policy.settings import EngineSettings
+from bilberryrail.policy.view import ClusterView
+
+_MS_PER_S: Final = 1000
+
+
+class Sender:
+    """Places attempts with targets, over links that it has opened.
+
+    Attributes
+    ----------
+    actions
+        Actions since the last ``IngressRole.handle``.
+    links
+        Peers with a link; True once it is up, False while it is opening.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        random: Random,
+        table: CallTable,
+        retries: RetryPolicy,
+    ) -> None:
+        region = settings.identity.region
+        self.settings = settings
+        self.table = table
+        self.retries = retries
+        self.actions: list[Action] = []
+        self.links: dict[NodeId, bool] = {settings.identity.node: True}
+        self.book = EstimateBook(settings.routing)
+        self.index = CandidateIndex(region)
+        self.router = Router(settings.routing, region, self.book, random)
+        self.prober = Prober(settings.probes, self.book, random)
+        self.quantiles: dict[str, LatencyQuantile] = {}
+        self._last_attempt = 0
+
+    def choose(
+        self,
+        call: Call,
+        now: Seconds,
+        view: ClusterView,
+    ) -> Choice | None:
+        """Choose a target that has not had this call."""
+        if call.pinned is not None:
+            return self._named(call, view)
+        service = call.service
+        demand = Demand(
+            service=service,
+            home_regions=call.home_regions,
+            avoid=frozenset(call.tried),
+            remaining_s=call.remaining_s(now),
+            size=call.size,
+        )
+        return self.router.choose(
+            demand,
+            self._group(call, view),
+            self.prober.fresh(service.service, now),
+            now,
+        )
+
+    def place(
+        self,
+        call: Call,
+        choice: Choice,
+        trigger: str,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        """Send a call to a chosen target, at once or when the link is up."""
+        member = choice.member
+        self._last_attempt += 1
+        attempt = Attempt(
+            attempt=AttemptId(self._last_attempt),
+            call=call,
+            member=member,
+            share=self._share(call, now),
+        )
+        self._log_route(attempt, choice, trigger)
+        self.table.add_attempt(attempt)
+        self.book.sent(member.node, now)
+        self.prober.used(member)
+        self.router.charge(member, call.size, now)
+        if self.open_link(member):
+            self.send(attempt, now)
+        self.prober.call_sent()
+        self.probe(self._group(call, view), now)
+
+    def send(self, attempt: Attempt, now: Seconds) -> None:
+        """Send an attempt over a link that is up."""
+        call = attempt.call
+        attempt.sent_at = now
+        limits = call.limits(attempt.share, now)
+        if call.kind is CallKind.RESERVATION:
+            action: Action = SendReservation(
+                peer=attempt.member.node,
+                attempt=attempt.attempt,
+                service=call.service.service,
+                tenant=call.tenant,
+                limits=limits,
+            )
+        else:
+            action = SendAttempt(
+                peer=attempt.member.node,
+                attempt=attempt.attempt,
+                call=call.call,
+                service=call.service.service,
+                tenant=call.tenant,
+                limits=limits,
+                token=call.token,
+            )
+            self._set_hedge(call, now)
+        self.actions.append(action)
+
+    def release(self, attempt: Attempt, *, ran: bool) -> None:
+        """End an attempt; its budget comes back if it did not run."""
+        self.table.remove_attempt(attempt)
+        self.book.finished(attempt.member.node)
+        if not ran:
+            attempt.call.budget.give_back(attempt.share)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give an attempt up and tell its target."""
+        self.release(attempt, ran=attempt.sent_at is not None)
+        if attempt.sent_at is not None:
+            self.actions.append(
+                SendCancel(attempt.member.node, attempt.attempt),
+            )
+
+    def answered(self, attempt: Attempt, size: int, now: Seconds) -> None:
+        """Learn from an answer."""
+        latency_s = now - (attempt.sent_at or now)
+        service = attempt.call.service.service
+        self.book.answered(attempt.member.node, latency_s, now)
+        self.router.charge(attempt.member, size, now)
+        if service not in self.quantiles:
+            self.quantiles[service] = LatencyQuantile(
+                self.settings.retries.hedge_quantile,
+            )
+        self.quantiles[service].add(latency_s)
+
+    def open_link(self, member: Member) -> bool:
+        """Open a link unless there is one; tell whether it is up."""
+        if member.node not in self.links:
+            self.links[member.node] = False
+            self.actions.append(
+                OpenLink(member.node, member.host, member.port),
+            )
+        return self.links[member.node]
+
+    def probe(self, group: Group, now: Seconds) -> None:
+        """Probe the candidate that most needs it, within the budget."""
+        if self.prober.may_probe(now):
+            member = self.prober.pick(group, now)
+            if member is not None:
+                self._send_probe(member, now)
+
+    def probe_suspect(self, now: Seconds, view: ClusterView) -> None:
+        """Probe a suspected candidate whose time of avoidance is over."""
+        if not self.book.suspects or not self.prober.may_probe(now):
+            return
+        node = self.prober.due_suspect(now)
+        member = None if node is None else view.member(node)
+        if member is not None:
+            self._send_probe(member, now)
+
+    def _send_probe(self, member: Member, now: Seconds) -> None:
+        if self.open_link(member):
+            number = self.prober.start(member, now)
+            self.actions.append(SendProbe(member.node, number))
+        elif self.book.of(member.node).suspected:
+            self.book.suspect(member.node, now)
+
+    def _group(self, call: Call, view: ClusterView) -> Group:
+        return self.index.group(
+            call.service.service,
+            call.home_regions,
+            view,
+        )
+
+    def _named(self, call: Call, view: ClusterView) -> Choice | None:
+        if call.pinned is None or call.pinned in call.tried:
+            return None
+        member = view.member(call.pinned)
+        if member is None:
+            return None
+        if call.home_regions and member.region not in call.home_regions:
+            return None
+        expected_s = self.book.of(member.node).latency_s
+        return Choice(member, RouteReason.TOKEN, expected_s)
+
+    def _share(self, call: Call, now: Seconds) -> int:
+        if call.kind is CallKind.RESERVATION:
+            return 0
+        is_last = call.sent_count + 1 >= self.settings.retries.max_attempts
+        return self.retries.share(
+            call.budget,
+            now,
+            keeps_part=call.repeatable and not is_last,
+        )
+
+    def _set_hedge(self, call: Call, now: Seconds) -> None:
+        quantile = self.quantiles.get(call.service.service)
+        if quantile is None or quantile.estimate_s is None:
+            return
+        if call.repeatable and not call.hedged:
+            due_at = Seconds(now + quantile.estimate_s)
+            self.table.set_timer(call, TimerKind.HEDGE, due_at)
+
+    def _log_route(
+        self,
+        attempt: Attempt,
+        choice: Choice,
+        trigger: str,
+    ) -> None:
+        """Log a routing decision; calls get here only in a home region."""
+        estimate = self.book.of(choice.member.node)
+        call = attempt.call
+        fields = {
+            'call': call.call,
+            'attempt': attempt.attempt,
+            'service': call.service.service,
+            'tenant': call.tenant,
+            'target': choice.member.node,
+            'trigger': trigger,
+            'reason': choice.reason.value,
+            'expected_ms': round(choice.expected_s * _MS_PER_S, 1),
+            'latency_ms': round(estimate.latency_s * _MS_PER_S, 1),
+            'in_flight': estimate.in_flight,
+            'occupancy': estimate.occupancy(),
+            'error_rate': round(estimate.error_rate, 2),
+        }
+        self.actions.append(LogEvent('route', fields))
