Compose the engine and test the ingress half

Cause: the shell and the harness need one object that holds all decisions of a node, and the life of calls needs tests for its invariants.

Change: NodeEngine with injected parts, default parts loaded lazily, link ownership between relay and calls, refunds for retries that were never sent, and tests with fakes for the control plane, the target and the ledger.

--- a/packages/policy/bilberryrail/policy/calls.py
+++ b/packages/policy/bilberryrail/policy/calls.py
@@ -44,12 +44,15 @@
         When it was sent; None while it waits for the link to the target.
     share
         Part of the tree budget that went with it.
+    paid
+        Whether it was paid for as a retry or hedge after a possible start.
     """
 
     attempt: AttemptId
     call: 'Call'
     member: Member
     share: int
+    paid: bool = False
     sent_at: Seconds | None = None
 
 
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/engine.py
@@ -0,0 +1,274 @@
+"""Composes the control plane and both roles of a node into one object.
+
+The engine has no sockets, threads or timers: the shell hands it events and
+carries out the actions that it returns.
+"""
+
+from collections.abc import Iterable, Iterator
+from random import Random
+
+from bilberryrail.control import messages
+from bilberryrail.core.ids import Seconds
+from bilberryrail.core.load import Outcome, Reason
+from bilberryrail.policy import events
+from bilberryrail.policy.actions import (
+    AbortDispatch,
+    Action,
+    DrainInput,
+    DropBody,
+    RejectCall,
+    SendRefusal,
+    Stop,
+)
+from bilberryrail.policy.holding import HoldingArea, NewWork
+from bilberryrail.policy.intake import RETRY_AFTER_S
+from bilberryrail.policy.parts import EngineParts, default_parts
+from bilberryrail.policy.pause import PauseGuard
+from bilberryrail.policy.settings import EngineSettings
+from bilberryrail.policy.view import ClusterView
+
+
+class NodeEngine:
+    """All decisions of one node.
+
+    Parameters
+    ----------
+    random
+        Source of all randomness.
+    parts
+        Parts to compose; made from the settings if there are none.
+
+    Attributes
+    ----------
+    view
+        Configuration and membership that calls are decided on.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        random: Random,
+        parts: EngineParts | None = None,
+    ) -> None:
+        self.settings = settings
+        self.parts = parts or default_parts(settings, random)
+        self.guard = PauseGuard(settings.pause)
+        self.holding = HoldingArea()
+        self.view = self._make_view()
+        self.draining = False
+        self.stopped = False
+        self._version = self.parts.plane.version
+        self._handled_at = Seconds(0)
+
+    @property
+    def wakeup_at(self) -> Seconds:
+        """When ``Tick`` is to be handled at the latest."""
+        tick_at = self._handled_at + self.settings.pause.tick_interval_s
+        return Seconds(
+            min(
+                tick_at,
+                self.parts.plane.wakeup_at,
+                self.parts.target.wakeup_at,
+                self.parts.ingress.wakeup_at,
+            ),
+        )
+
+    def handle(
+        self,
+        event: events.Event,
+        now: Seconds,
+    ) -> tuple[Action, ...]:
+        """Handle an event and return what the shell is to do, in order."""
+        self._handled_at = now
+        pause_s = self.guard.observe(now)
+        actions: list[Action] = []
+        if pause_s:
+            self.parts.ingress.resumed(now)
+            actions.append(messages.LogEvent('pause', {'length_s': pause_s}))
+            actions.append(DrainInput())
+        # A pause in this turn makes the end of an earlier drain void.
+        if not pause_s or not isinstance(event, events.InputDrained):
+            actions.extend(self._dispatch(event, now))
+        actions.extend(self._stop())
+        return tuple(actions)
+
+    def _dispatch(
+        self,
+        event: events.Event,
+        now: Seconds,
+    ) -> Iterable[Action]:
+        match event:
+            case (
+                events.CallArrived()
+                | events.ReservationAsked()
+                | events.AttemptReceived()
+                | events.ReservationReceived()
+            ):
+                return self._accept(event, now)
+            case events.CallerGone() | events.CancelReceived():
+                return self._cancel(event, now)
+            case (
+                events.AnswerReceived()
+                | events.RefusalReceived()
+                | events.ReservationGranted()
+                | events.ProbeReplied()
+            ):
+                return self.parts.ingress.handle(event, now, self.view)
+            case (
+                events.ProbeReceived()
+                | events.BackendAnswered()
+                | events.BackendFailed()
+                | events.BackendHealth()
+            ):
+                return self._target(event, now)
+            case events.InputDrained():
+                return self._input_drained(now)
+        return self._control(event, now)
+
+    def _accept(self, event: NewWork, now: Seconds) -> Iterable[Action]:
+        """Give new work to its role, hold it back or refuse it."""
+        if self.guard.draining_input:
+            self.holding.hold(event, now, self.guard.charge_s)
+            return ()
+        reason = self._unfit(now)
+        if reason is not None:
+            return self._refuse(event, reason, now)
+        if isinstance(event, events.CallArrived | events.ReservationAsked):
+            return self.parts.ingress.handle(event, now, self.view)
+        return self._target(event, now)
+
+    def _cancel(
+        self,
+        event: events.CallerGone | events.CancelReceived,
+        now: Seconds,
+    ) -> Iterable[Action]:
+        dropped = self.holding.cancel(event)
+        if dropped is not None:
+            return dropped
+        if isinstance(event, events.CallerGone):
+            return self.parts.ingress.handle(event, now, self.view)
+        return self._target(event, now)
+
+    def _input_drained(self, now: Seconds) -> Iterator[Action]:
+        self.guard.input_drained()
+        for event in self.holding.release(now, self.view):
+            yield from self._accept(event, now)
+
+    def _control(
+        self,
+        event: messages.ControlEvent,
+        now: Seconds,
+    ) -> Iterator[Action]:
+        """Handle what concerns the control plane and perhaps the roles."""
+        for action in self.parts.plane.handle(event, now):
+            if not self._keeps(action):
+                yield action
+        self._refresh_view()
+        if isinstance(event, messages.DrainRequested):
+            self.draining = True
+        if self._concerns_calls(event):
+            yield from self._target(event, now)
+            yield from self.parts.ingress.handle(event, now, self.view)
+
+    def _concerns_calls(self, event: messages.ControlEvent) -> bool:
+        match event:
+            case messages.Tick():
+                # Deadlines wait until answers in sockets have been read.
+                return not self.guard.draining_input
+            case (
+                messages.LinkUp()
+                | messages.LinkDown()
+                | messages.DrainRequested()
+            ):
+                return True
+        return False
+
+    def _keeps(self, action: Action) -> bool:
+        """Tell whether the plane closes a link that calls still need."""
+        if not isinstance(action, messages.CloseLink):
+            return False
+        if self.parts.ingress.needs_link(action.peer):
+            return True
+        self.parts.ingress.link_closed(action.peer)
+        return False
+
+    def _target(self, event: events.Event, now: Seconds) -> Iterator[Action]:
+        """Let the target role handle an event, and end nested calls.
+
+        Nested calls end with the dispatch that encloses them, so that they
+        hold no slots for a result that nobody waits for.
+        """
+        for action in self.parts.target.handle(event, now, self.view):
+            yield action
+            if isinstance(action, AbortDispatch):
+                yield from self.parts.ingress.cancel_nested(action.dispatch)
+        if isinstance(event, events.BackendFailed):
+            yield from self.parts.ingress.cancel_nested(event.dispatch)
+
+    def _unfit(self, now: Seconds) -> Reason | None:
+        """Say why this node cannot serve calls, if it cannot."""
+        plane = self.parts.plane
+        if not plane.caught_up:
+            return Reason.CATCHING_UP
+        own = self.settings.identity.node
+        has_peers = any(
+            node != own
+            for members in (plane.state.members, plane.unlogged)
+            for node in members
+        )
+        stale = self.guard.is_stale(
+            now,
+            plane.current_at,
+            has_peers=has_peers,
+        )
+        return Reason.STALE_VIEW if stale else None
+
+    def _refuse(
+        self,
+        event: NewWork,
+        reason: Reason,
+        now: Seconds,
+    ) -> Iterator[Action]:
+        match event:
+            case events.CallArrived() | events.ReservationAsked():
+                yield RejectCall(
+                    event.call,
+                    Outcome.NOT_RUN,
+                    reason,
+                    RETRY_AFTER_S,
+                )
+            case events.AttemptReceived() | events.ReservationReceived():
+                yield SendRefusal(
+                    peer=event.peer,
+                    attempt=event.attempt,
+                    outcome=Outcome.NOT_RUN,
+                    reason=reason,
+                    retry_after_s=RETRY_AFTER_S,
+                    load=self.parts.target.load(now),
+                )
+        if isinstance(event, events.AttemptReceived):
+            yield DropBody(event.peer, event.attempt)
+
+    def _stop(self) -> tuple[Action, ...]:
+        """Stop once a drain has let everything finish."""
+        if not self.draining or self.stopped or self.guard.draining_input:
+            return ()
+        if not (self.parts.target.idle and self.parts.ingress.idle):
+            return ()
+        self.stopped = True
+        return (Stop(),)
+
+    def _refresh_view(self) -> None:
+        version = self.parts.plane.version
+        if version != self._version:
+            self._version = version
+            self.view = self._make_view()
+
+    def _make_view(self) -> ClusterView:
+        plane = self.parts.plane
+        return ClusterView(
+            plane.state,
+            self.settings.identity,
+            plane.unlogged,
+            frozenset(plane.leaving),
+        )
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/engine_test.py
@@ -0,0 +1,211 @@
+"""Composition of the parts, pauses and drains."""
+
+from random import Random
+
+import pytest
+from result import Ok
+
+from bilberryrail.control import messages
+from bilberryrail.core.load import Outcome, Reason
+from bilberryrail.policy import actions, events
+from bilberryrail.policy.engine import NodeEngine
+from bilberryrail.policy.fakes_test import (
+    IDLE,
+    SETTINGS,
+    FakeLedger,
+    make_view,
+)
+from bilberryrail.policy.ingress import IngressRole
+from bilberryrail.policy.parts import EngineParts
+from bilberryrail.policy.pause import PauseGuard
+from bilberryrail.policy.settings import PauseSettings
+
+START = 50.0
+LIMITS = events.CallLimits(remaining_s=1, retry_budget=0)
+
+
+class FakePlane:
+    """A control plane that has caught up with a fixed state."""
+
+    def __init__(self):
+        self.version = 1
+        self.state = make_view().state
+        self.unlogged = {}
+        self.leaving = frozenset()
+        self.caught_up = True
+        self.current_at = START
+        self.wakeup_at = START + 100
+        self.closing = ()
+
+    def handle(self, event, now):
+        return self.closing
+
+
+class FakeTarget:
+    """A target that records its events and does as told."""
+
+    def __init__(self):
+        self.events = []
+        self.idle = True
+        self.wakeup_at = START + 100
+        self.script = ()
+
+    def handle(self, event, now, view):
+        self.events.append(event)
+        return self.script
+
+    def load(self, now):
+        return IDLE
+
+
+def make_engine():
+    ledger = FakeLedger()
+    ingress = IngressRole(SETTINGS, Random(1), ledger, Ok)
+    parts = EngineParts(FakePlane(), FakeTarget(), ingress)
+    engine = NodeEngine(SETTINGS, Random(1), parts)
+    engine.handle(messages.Tick(), START)
+    return engine
+
+
+def arrival(call=1, **fields):
+    return events.CallArrived(call, 'lookup', 'free', 10, **fields)
+
+
+def attempt(number=1):
+    return events.AttemptReceived('south1', number, 'lookup', 'free', LIMITS, 9)
+
+
+def only(done, *kinds):
+    return [action for action in done if isinstance(action, kinds)]
+
+
+def test_refuses_before_it_has_caught_up():
+    """Guards against serving from an empty or old configuration."""
+    engine = make_engine()
+    engine.parts.plane.caught_up = False
+    done = engine.handle(arrival(), START)
+    assert done[0].reason is Reason.CATCHING_UP
+    refusal, dropped = engine.handle(attempt(), START)
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert dropped == actions.DropBody('south1', 1)
+    assert attempt() not in engine.parts.target.events
+
+
+def test_refuses_without_contact_but_only_when_it_has_peers():
+    """Guards against serving from the view of a node that is cut off."""
+    engine = make_engine()
+    engine.parts.plane.current_at = START - 4
+    done = engine.handle(arrival(), START)
+    assert done[0].reason is Reason.STALE_VIEW
+    assert not PauseGuard(PauseSettings()).is_stale(9, 0, has_peers=False)
+
+
+def test_pause_holds_calls_until_cancellations_are_read():
+    """Guards against running work whose cancellation waits in a socket."""
+    engine = make_engine()
+    resumed = START + 0.4
+    done = engine.handle(attempt(1), resumed)
+    assert only(done, actions.DrainInput)
+    engine.handle(attempt(2), resumed)
+    engine.handle(arrival(), resumed)
+    engine.handle(messages.Tick(), resumed)
+    dropped = engine.handle(events.CancelReceived('south1', 1), resumed)
+    assert dropped == (actions.DropBody('south1', 1),)
+    assert not engine.handle(events.CallerGone(1), resumed)
+    assert len(engine.parts.target.events) == 1
+    done = engine.handle(events.InputDrained(), resumed + 0.1)
+    received = engine.parts.target.events[-1]
+    assert received.attempt == 2
+    assert received.limits.remaining_s == pytest.approx(1 - 0.4 - 0.1)
+    assert not only(done, actions.SendAttempt)
+
+
+def test_pause_is_charged_to_callers_deadlines():
+    """Guards against a pause that extends deadlines."""
+    engine = make_engine()
+    engine.handle(arrival(1, deadline_s=0.3), START + 0.4)
+    engine.handle(arrival(2), START + 0.4)
+    done = engine.handle(events.InputDrained(), START + 0.4)
+    assert only(done, actions.RejectCall)[0].reason is Reason.DEADLINE
+    assert engine.parts.ingress.table.calls[2].deadline_at == pytest.approx(
+        START + 1.0,
+    )
+
+
+def test_long_pause_refuses_until_a_current_offset_is_known():
+    """Guards against serving from a view that aged during a pause."""
+    engine = make_engine()
+    resumed = START + 10
+    engine.parts.plane.current_at = resumed - 1
+    engine.handle(messages.Tick(), resumed)
+    engine.handle(events.InputDrained(), resumed)
+    done = engine.handle(arrival(), resumed)
+    assert done[0].reason is Reason.STALE_VIEW
+    engine.parts.plane.current_at = resumed
+    assert not only(engine.handle(arrival(), resumed), actions.RejectCall)
+
+
+def test_own_pause_makes_no_target_suspected():
+    """Guards against avoiding healthy targets after an own pause."""
+    engine = make_engine()
+    engine.handle(arrival(deadline_s=5), START)
+    engine.handle(events.InputDrained(), START + 0.5)
+    engine.handle(events.InputDrained(), START + 0.5)
+    engine.handle(messages.Tick(), START + 0.5)
+    assert not engine.parts.ingress.sender.book.suspects
+
+
+def test_cancelled_dispatch_cancels_its_nested_calls():
+    """Guards against nested calls that hold slots for nobody."""
+    engine = make_engine()
+    ledger = engine.parts.ingress.intake.ledger
+    ledger.limits[8] = events.CallLimits(1, 1)
+    engine.handle(arrival(parent=8), START)
+    engine.parts.target.script = (actions.AbortDispatch(8),)
+    done = engine.handle(events.CancelReceived('south1', 3), START)
+    assert only(done, actions.RejectCall)[0].reason is Reason.CANCELLED
+
+
+def test_drain_stops_once_when_both_roles_are_idle():
+    """Guards against a shutdown that interrupts a request, or never ends."""
+    engine = make_engine()
+    engine.handle(arrival(), START)
+    engine.parts.target.idle = False
+    assert not only(
+        engine.handle(messages.DrainRequested(), START),
+        actions.Stop,
+    )
+    engine.handle(events.CallerGone(1), START)
+    engine.parts.target.idle = True
+    done = engine.handle(messages.Tick(), START + 0.02)
+    done += engine.handle(messages.Tick(), START + 0.04)
+    assert only(done, actions.Stop) == [actions.Stop()]
+
+
+def test_view_is_rebuilt_only_for_a_new_version():
+    """Guards against grouping 19,000 members again for each event."""
+    engine = make_engine()
+    before = engine.view
+    engine.handle(messages.Tick(), START)
+    assert engine.view is before
+    engine.parts.plane.version = 2
+    engine.handle(messages.Tick(), START)
+    assert engine.view is not before
+
+
+def test_links_for_calls_outlive_the_relay():
+    """Guards against the relay closing a link that carries calls."""
+    engine = make_engine()
+    engine.handle(arrival(), START)
+    peer = next(iter(engine.parts.ingress.sender.wanted))
+    engine.parts.plane.closing = tuple(
+        messages.CloseLink(node) for node in (peer, 'north9')
+    )
+    done = engine.handle(messages.Tick(), START)
+    assert only(done, messages.CloseLink) == [messages.CloseLink('north9')]
+
+
+def test_wakes_up_within_the_tick_interval():
+    """Guards against taking an idle loop for a paused process."""
+    engine = make_engine()
+    assert engine.wakeup_at == pytest.approx(START + 0.02)
--- a/packages/policy/bilberryrail/policy/ingress.py
+++ b/packages/policy/bilberryrail/policy/ingress.py
@@ -144,7 +144,11 @@
 
     def needs_link(self, peer: NodeId) -> bool:
         """Tell whether a link to a peer is kept for calls."""
-        return peer in self.sender.links
+        return peer in self.sender.wanted
+
+    def link_closed(self, peer: NodeId) -> None:
+        """Note that another part closed a link that no call needs."""
+        self.sender.links.pop(peer, None)
 
     def _take_actions(self) -> tuple[Action, ...]:
         actions = tuple(self.sender.actions)
@@ -158,6 +162,7 @@
         for node in known - {self.settings.identity.node}:
             if view.member(node) is None and not self.table.at_peer(node):
                 self.sender.book.forget(node)
+                self.sender.wanted.discard(node)
                 if self.sender.links.pop(node, None) is not None:
                     self.sender.actions.append(CloseLink(node))
 
--- a/packages/policy/bilberryrail/policy/lifecycle.py
+++ b/packages/policy/bilberryrail/policy/lifecycle.py
@@ -7,7 +7,7 @@
 from bilberryrail.policy.calls import Attempt, Call, Refusal
 from bilberryrail.policy.intake import RETRY_AFTER_S
 from bilberryrail.policy.retries import CallLedger
-from bilberryrail.policy.sending import Sender
+from bilberryrail.policy.sending import FIRST, Sender
 from bilberryrail.policy.view import ClusterView
 
 
@@ -28,7 +28,7 @@
         self.retries.call_started()
         choice = self.sender.choose(call, now, view)
         if choice is not None:
-            self.sender.place(call, choice, 'first', now, view)
+            self.sender.place(call, choice, FIRST, now, view)
         elif call.pinned is None:
             self.give_up(call, Reason.NO_TARGET)
         else:
@@ -65,12 +65,15 @@
         now: Seconds,
         view: ClusterView,
     ) -> None:
-        """Look for other targets for the calls at a silent one."""
+        """Look for other targets for the calls at a silent one.
+
+        A call that still waits for the link stays if there is no other.
+        """
         for attempt in self.table.at_peer(peer):
             call = attempt.call
             if attempt.sent_at is not None:
                 self.hedge(call, now, view)
-            elif call.pinned is None:
+            elif self.sender.choose(call, now, view) is not None:
                 refusal = Refusal(
                     Outcome.NOT_RUN,
                     Reason.LINK_LOST,
--- a/packages/policy/bilberryrail/policy/probing.py
+++ b/packages/policy/bilberryrail/policy/probing.py
@@ -135,9 +135,11 @@
         load: LoadReport,
         now: Seconds,
     ) -> None:
-        """Learn from a reply; one to an unknown probe is dropped."""
+        """Learn from a reply; a late one is only a sign of life."""
         sent = self.sent.get(probe)
         if sent is None or sent.node != node:
+            if node in self.book.estimates:
+                self.book.heard(node, load, now)
             return
         self.sent.pop(probe)
         self.book.replied(node, load, now - sent.sent_at, now)
@@ -171,13 +173,19 @@
             pool.pop(member.node)
 
     def lost(self, now: Seconds, patience_s: float) -> Iterator[NodeId]:
-        """Suspect the targets of probes without a reply; name them."""
+        """Suspect the targets of probes without a reply; name them.
+
+        A target that was heard since the probe was sent is not suspected:
+        one message may be lost while it answers calls.
+        """
         for probe, sent in tuple(self.sent.items()):
             if now - sent.sent_at < patience_s:
                 break
             self.sent.pop(probe)
-            self.book.suspect(sent.node, now)
-            yield sent.node
+            heard_at = self.book.of(sent.node).heard_at
+            if heard_at is None or heard_at < sent.sent_at:
+                self.book.suspect(sent.node, now)
+                yield sent.node
 
     def resumed(self) -> None:
         """Forget probes under way; their replies waited out a pause."""
--- a/packages/policy/bilberryrail/policy/retries.py
+++ b/packages/policy/bilberryrail/policy/retries.py
@@ -107,6 +107,11 @@
             return False
         return self.bucket.take(1, now)
 
+    def refund(self, budget: Budget) -> None:
+        """Return the price of a retry that was never sent."""
+        budget.give_back(1)
+        self.bucket.earn(1)
+
     def share(
         self,
         budget: Budget,
--- a/packages/policy/bilberryrail/policy/sending.py
+++ b/packages/policy/bilberryrail/policy/sending.py
@@ -35,6 +35,8 @@
 from bilberryrail.policy.settings import EngineSettings
 from bilberryrail.policy.view import ClusterView
 
+#: Trigger of the attempt that a call starts with.
+FIRST: Final = 'first'
 _MS_PER_S: Final = 1000
 
 
@@ -47,6 +49,8 @@
         Actions since the last ``IngressRole.handle``.
     links
         Peers with a link; True once it is up, False while it is opening.
+    wanted
+        Peers whose link was opened for calls; it is kept open.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         self.retries = retries
         self.actions: list[Action] = []
         self.links: dict[NodeId, bool] = {settings.identity.node: True}
+        self.wanted: set[NodeId] = set()
         self.book = EstimateBook(settings.routing)
         self.index = CandidateIndex(region)
         self.router = Router(settings.routing, region, self.book, random)
@@ -109,6 +114,7 @@
             call=call,
             member=member,
             share=self._share(call, now),
+            paid=trigger != FIRST and call.may_run,
         )
         self._log_route(attempt, choice, trigger)
         self.table.add_attempt(attempt)
@@ -147,11 +153,16 @@
         self.actions.append(action)
 
     def release(self, attempt: Attempt, *, ran: bool) -> None:
-        """End an attempt; its budget comes back if it did not run."""
+        """End an attempt; its budget comes back if it did not run.
+
+        The price of a retry comes back only if it was never sent.
+        """
         self.table.remove_attempt(attempt)
         self.book.finished(attempt.member.node)
         if not ran:
             attempt.call.budget.give_back(attempt.share)
+        if attempt.paid and attempt.sent_at is None:
+            self.retries.refund(attempt.call.budget)
 
     def cancel(self, attempt: Attempt) -> None:
         """Give an attempt up and tell its target."""
@@ -175,6 +186,7 @@
 
     def open_link(self, member: Member) -> bool:
         """Open a link unless there is one; tell whether it is up."""
+        self.wanted.add(member.node)
         if member.node not in self.links:
             self.links[member.node] = False
             self.actions.append(
