Let estimates age and keep worthless tokens from discrediting targets

Cause: a report of a full queue kept its weight for ever, a caller with invalid tokens raised the error rate of a target, and the engine asked for ticks in the past while input was being drained.

Change: reports older than one second count no calls, refusals that concern the token or the caller do not count as errors, 6 % of probes go to other regions, and role timers do not wake the engine before InputDrained. The tree budget property also lets links fail and calls be hedged.

Conclusion: a target that was full once gets traffic back without a probe.

--- a/packages/policy/bilberryrail/policy/engine.py
+++ b/packages/policy/bilberryrail/policy/engine.py
@@ -64,10 +64,13 @@
     def wakeup_at(self) -> Seconds:
         """When ``Tick`` is to be handled at the latest."""
         tick_at = self._handled_at + self.settings.pause.tick_interval_s
+        due_at = min(tick_at, self.parts.plane.wakeup_at)
+        if self.guard.draining_input:
+            # The roles get no ticks until waiting input has been read.
+            return Seconds(due_at)
         return Seconds(
             min(
-                tick_at,
-                self.parts.plane.wakeup_at,
+                due_at,
                 self.parts.target.wakeup_at,
                 self.parts.ingress.wakeup_at,
             ),
--- a/packages/policy/bilberryrail/policy/estimates.py
+++ b/packages/policy/bilberryrail/policy/estimates.py
@@ -19,6 +19,9 @@
 #: Weight of the newest outcome in the error rate; two errors in a row make
 #: three quarters of the deadline the expected time.
 _ERROR_WEIGHT: Final = 0.5
+#: Age from which a report says nothing about the calls at a candidate. A
+#: candidate that was full once would otherwise be avoided until it is probed.
+_REPORT_AGE_S: Final = 1.0
 _BACKOFF_FACTOR: Final = 2
 
 
@@ -57,14 +60,19 @@
         """Whether the candidate is avoided until it gives a sign of life."""
         return self.retry_probe_at is not None
 
-    def occupancy(self) -> int:
+    def occupancy(self, now: Seconds) -> int:
         """Count the calls that a new one would find there."""
-        if self.load is None:
+        if self.load is None or self._is_report_old(now):
             return self.in_flight
         reported = self.load.in_flight + self.load.queued
         return max(reported + self.sent_since_report, self.in_flight)
 
-    def expected_s(self, deadline_s: float, unknown_limit: int) -> float:
+    def expected_s(
+        self,
+        deadline_s: float,
+        unknown_limit: int,
+        now: Seconds,
+    ) -> float:
         """Estimate the time to an answer for one more call.
 
         Parameters
@@ -79,13 +87,16 @@
         if self.load is not None:
             limit, cold = self.load.limit, self.load.cold
             service_s = self.load.latency_s or service_s
-        waiting = self.occupancy() + 1 - limit
+        waiting = self.occupancy(now) + 1 - limit
         if cold and waiting > 0:
             return deadline_s
         queueing_s = max(0, waiting) / max(1, limit) * service_s
         answer_s = self.latency_s + queueing_s
         return answer_s + self.error_rate * max(0, deadline_s - answer_s)
 
+    def _is_report_old(self, now: Seconds) -> bool:
+        return self.heard_at is None or now - self.heard_at > _REPORT_AGE_S
+
 
 class EstimateBook:
     """Estimates of all candidates that this ingress has dealt with."""
--- a/packages/policy/bilberryrail/policy/ingress.py
+++ b/packages/policy/bilberryrail/policy/ingress.py
@@ -40,6 +40,18 @@
 from bilberryrail.policy.settings import EngineSettings
 from bilberryrail.policy.view import ClusterView
 
+#: Reasons that say nothing about the health of the target. If they counted,
+#: a caller with worthless tokens could turn others away from it.
+_BLAMELESS: Final = frozenset(
+    (
+        Reason.CANCELLED,
+        Reason.RESERVATION_INVALID,
+        Reason.RESERVATION_EXPIRED,
+        Reason.OTHER_INCARNATION,
+        Reason.ANSWER_NOT_KEPT,
+        Reason.TOO_LARGE,
+    ),
+)
 #: HTTP status from which an answer counts as an error of its target.
 _SERVER_ERROR: Final = 500
 
@@ -223,7 +235,7 @@
         view: ClusterView,
     ) -> None:
         attempt = self._find(event.peer, event.attempt)
-        if attempt is not None:
+        if attempt is not None and event.reason not in _BLAMELESS:
             self.sender.book.failed(event.peer)
         self._heard(event.peer, event.load, now)
         if attempt is None:
--- a/packages/policy/bilberryrail/policy/ingress_test.py
+++ b/packages/policy/bilberryrail/policy/ingress_test.py
@@ -86,6 +86,15 @@
     rig.ended(Outcome.UNKNOWN, Reason.OTHER_INCARNATION)
 
 
+def test_worthless_tokens_do_not_discredit_a_target():
+    """Guards against one caller turning all others away from a target."""
+    rig = Rig()
+    rig.arrive('booking', token='south51')
+    rig.refuse(rig.sent[0], Outcome.INVALID, Reason.RESERVATION_INVALID)
+    rig.ended(Outcome.INVALID, Reason.RESERVATION_INVALID)
+    assert rig.role.sender.book.of('south51').error_rate == 0
+
+
 def test_reservation_is_granted():
     """Guards against losing the token on its way to the caller."""
     rig = Rig()
--- a/packages/policy/bilberryrail/policy/probing.py
+++ b/packages/policy/bilberryrail/policy/probing.py
@@ -22,6 +22,9 @@
 _FAILING: Final = 0.4
 #: Ratio to the fastest of the drawn candidates from which one counts as slow.
 _SLOW_RATIO: Final = 3
+#: Share of probes that go to other regions. It keeps their estimates from
+#: growing old, at a cost of a few bytes per second on the link.
+_REMOTE_SHARE: Final = 0.06
 #: Candidates drawn to find one that is worth a probe.
 _DRAWS: Final = 4
 
@@ -106,6 +109,8 @@
         if member is not None:
             return member
         members = group.local or group.remote
+        if group.remote and self.random.random() < _REMOTE_SHARE:
+            members = group.remote
         if not members:
             return None
         drawn = [
--- a/packages/policy/bilberryrail/policy/properties_test.py
+++ b/packages/policy/bilberryrail/policy/properties_test.py
@@ -136,20 +136,28 @@
     assert tenant == 'south-only' or not reached
 
 
-@settings(derandomize=True, max_examples=60, deadline=None)
-@given(seed=strategies.integers(0, 10**6), budget=strategies.integers(0, 9))
-def test_tree_budget_is_never_exceeded(seed, budget):
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    seed=strategies.integers(0, 10**6),
+    budget=strategies.integers(0, 9),
+    linked=strategies.booleans(),
+)
+def test_tree_budget_is_never_exceeded(seed, budget, linked):
     """Guards against attempts that multiply with each of 27 levels."""
     retries = RetrySettings(
         tree_budget=budget,
         max_attempts=4,
         budget_burst=10**6,
     )
-    rig = Rig(settings=msgspec.structs.replace(SETTINGS, retries=retries))
+    rig = Rig(
+        view=make_view(local=12),
+        settings=msgspec.structs.replace(SETTINGS, retries=retries),
+        auto_link=linked,
+    )
     random = Random(seed)
     rig.arrive(deadline_s=60)
     depth = {}
-    for sent in _growing(rig):
+    for sent in _growing(rig, random):
         level = depth.get(sent.call, 1)
         if level < LEVELS:
             rig.ledger.limits[sent.attempt] = sent.limits
@@ -158,14 +166,28 @@
         if level in {1, LEVELS} or random.getrandbits(1):
             # Every failure may have run, so every retry has to be paid.
             rig.refuse(sent, Outcome.UNKNOWN)
-    paid = [route for route in rig.routes if route['trigger'] != 'first']
-    assert len(paid) <= budget
-    assert budget == 0 or paid
+        if not random.getrandbits(3):
+            rig.wait(0.32)
+    spent = len(rig.sent) - len({attempt.call for attempt in rig.sent})
+    assert spent <= budget
+    assert spent or not linked or not budget
 
 
-def _growing(rig):
-    """Go through attempts, those sent meanwhile included."""
+def _growing(rig, random):
+    """Go through attempts; links that open meanwhile succeed or fail."""
     done = 0
+    _settle_links(rig, random)
     while done < len(rig.sent):
         yield rig.sent[done]
         done += 1
+        _settle_links(rig, random)
+
+
+def _settle_links(rig, random):
+    for peer, is_up in tuple(rig.role.sender.links.items()):
+        if is_up:
+            continue
+        if random.getrandbits(1):
+            rig.feed(LinkUp(rig.view.member(peer)))
+        else:
+            rig.feed(LinkDown(peer, 'refused'))
--- a/packages/policy/bilberryrail/policy/routing.py
+++ b/packages/policy/bilberryrail/policy/routing.py
@@ -63,6 +63,7 @@
     avoid: frozenset[NodeId]
     remaining_s: float
     size: int
+    now: Seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,7 +142,6 @@
         demand: Demand,
         group: Group,
         probed: Iterable[NodeId],
-        now: Seconds,
     ) -> Choice | None:
         """Choose a target, or none if every candidate is to be avoided.
 
@@ -154,7 +154,7 @@
         local = self._best(demand, group.local, pool)
         if local is None:
             return self._without_local(demand, group, pool)
-        return self._with_local(demand, group, pool, local, now)
+        return self._with_local(demand, group, pool, local)
 
     def charge(self, member: Member, size: int, now: Seconds) -> None:
         """Charge the link budget if a message leaves the region."""
@@ -167,11 +167,13 @@
         group: Group,
         pool: tuple[Member, ...],
         local: tuple[float, Member],
-        now: Seconds,
     ) -> Choice:
         local_s, member = local
         distance_s = self.settings.region_distance_s
-        worth_it = local_s > distance_s and self.link.holds(demand.size, now)
+        worth_it = local_s > distance_s and self.link.holds(
+            demand.size,
+            demand.now,
+        )
         remote = self._best(demand, group.remote, pool) if worth_it else None
         if remote is not None and remote[0] + distance_s < local_s:
             return Choice(remote[1], RouteReason.FASTER_REGION, remote[0])
@@ -274,6 +276,7 @@
         return self.book.of(member.node).expected_s(
             demand.remaining_s,
             demand.service.limits.cold_slots,
+            demand.now,
         )
 
 
--- a/packages/policy/bilberryrail/policy/routing_test.py
+++ b/packages/policy/bilberryrail/policy/routing_test.py
@@ -28,7 +28,7 @@
     book = EstimateBook(routing)
     router = Router(routing, 'south', book, Random(3))
     group = CandidateIndex('south').group('lookup', (), view)
-    demand = Demand(view.service('lookup'), (), frozenset(), 1.0, 1000)
+    demand = Demand(view.service('lookup'), (), frozenset(), 1.0, 1000, 1.0)
     return router, group, demand
 
 
@@ -62,9 +62,7 @@
     teach(router.book, 'south1', 0.1)
     teach(router.book, 'south2', 0.001)
     router.book.failed('south2')
-    chosen = {
-        router.choose(demand, group, (), 1).member.node for _ in range(20)
-    }
+    chosen = {router.choose(demand, group, ()).member.node for _ in range(20)}
     assert chosen == {'south1'}
 
 
@@ -73,10 +71,19 @@
     router, group, demand = make_router(make_view(2, 0))
     teach(router.book, 'south1', 0.01, replace(IDLE, in_flight=40))
     teach(router.book, 'south2', 0.012)
-    choice = router.choose(demand, group, (), 1)
+    choice = router.choose(demand, group, ())
     assert choice.member.node == 'south2'
 
 
+def test_old_report_of_a_queue_does_not_count():
+    """Guards against avoiding a target for ever because it was full once."""
+    router, group, demand = make_router(make_view(2, 0))
+    teach(router.book, 'south1', 0.01, replace(IDLE, in_flight=40))
+    teach(router.book, 'south2', 0.012)
+    choice = router.choose(replace(demand, now=2.5), group, ())
+    assert choice.member.node == 'south1'
+
+
 def test_cold_target_gets_no_more_than_its_limit():
     """Guards against overfilling a cold target before its next report."""
     router, group, demand = make_router(make_view(2, 0))
@@ -84,7 +91,7 @@
     teach(router.book, 'south2', 0.2)
     chosen = []
     for _ in range(6):
-        node = router.choose(demand, group, (), 1).member.node
+        node = router.choose(demand, group, ()).member.node
         router.book.sent(node, 1)
         chosen.append(node)
     assert chosen.count('south1') == 2
@@ -94,18 +101,18 @@
     """Guards against spending the link for nothing or beyond its budget."""
     view = make_view(2, 1)
     router, group, demand = slow_local(view)
-    choice = router.choose(demand, group, (), 1)
+    choice = router.choose(demand, group, ())
     assert choice.reason is RouteReason.FASTER_REGION
     router, group, demand = slow_local(view, region_distance_s=0.45)
-    assert router.choose(demand, group, (), 1).reason is RouteReason.LOCAL
+    assert router.choose(demand, group, ()).reason is RouteReason.LOCAL
     router, group, demand = slow_local(view, link_bytes_per_s=500)
-    assert router.choose(demand, group, (), 1).reason is RouteReason.LOCAL
+    assert router.choose(demand, group, ()).reason is RouteReason.LOCAL
 
 
 def test_other_region_serves_when_there_is_no_local_candidate():
     """Guards against refusing calls that another region can serve."""
     router, group, demand = make_router(make_view(0, 2), link_bytes_per_s=0)
-    choice = router.choose(demand, group, (), 1)
+    choice = router.choose(demand, group, ())
     assert choice.reason is RouteReason.NO_LOCAL
 
 
@@ -211,7 +218,7 @@
     for node in tuple(group.by_node)[::suspected]:
         router.book.suspect(node, 0)
     for _ in range(1000):
-        router.choose(demand, group, (), 1)
+        router.choose(demand, group, ())
     return router.book.lookups / 1000
 
 
--- a/packages/policy/bilberryrail/policy/sending.py
+++ b/packages/policy/bilberryrail/policy/sending.py
@@ -90,12 +90,12 @@
             avoid=frozenset(call.tried),
             remaining_s=call.remaining_s(now),
             size=call.size,
+            now=now,
         )
         return self.router.choose(
             demand,
             self._group(call, view),
             self.prober.fresh(service.service, now),
-            now,
         )
 
     def place(
@@ -116,7 +116,7 @@
             share=self._share(call, now),
             paid=trigger != FIRST and call.may_run,
         )
-        self._log_route(attempt, choice, trigger)
+        self._log_route(attempt, choice, trigger, now)
         self.table.add_attempt(attempt)
         self.book.sent(member.node, now)
         self.prober.used(member)
@@ -258,6 +258,7 @@
         attempt: Attempt,
         choice: Choice,
         trigger: str,
+        now: Seconds,
     ) -> None:
         """Log a routing decision; calls get here only in a home region."""
         estimate = self.book.of(choice.member.node)
@@ -273,7 +274,7 @@
             'expected_ms': round(choice.expected_s * _MS_PER_S, 1),
             'latency_ms': round(estimate.latency_s * _MS_PER_S, 1),
             'in_flight': estimate.in_flight,
-            'occupancy': estimate.occupancy(),
+            'occupancy': estimate.occupancy(now),
             'error_rate': round(estimate.error_rate, 2),
         }
         self.actions.append(LogEvent('route', fields))
