Add the parts of target admission

Cause: a target decides with exact local state, for which the decision library had only interfaces. The setting cancel_on_link_loss makes the removal of orphaned calls measurable.

--- /dev/null
+++ b/packages/policy/bilberryrail/policy/cold_start.py
@@ -0,0 +1,111 @@
+"""Ramp of a backend server from its cold slots to all slots."""
+
+import math
+from typing import Final
+
+from bilberryrail.core.ids import Seconds
+from bilberryrail.core.records import BackendLimits
+from bilberryrail.policy.limiter import hard_limit
+
+#: Successful answers needed for each slot that the ramp opens. The value
+#: lets a loaded server finish the ramp by time, and keeps an idle one from
+#: being called warm without having answered anything.
+_ANSWERS_PER_SLOT: Final = 4
+#: Latency, as a multiple of the normal one, that hints at a cold start.
+_SLOW_RATIO: Final = 4.0
+#: Slow answers in a row that count as a cold start. With exponential service
+#: times one answer in 55 is that slow; five in a row are one in 5e8.
+_SLOW_ANSWERS: Final = 5
+#: Concurrency, as a multiple of the usual one, up to which it counts as
+#: unchanged.
+_SAME_CONCURRENCY: Final = 1.5
+#: Time constant of the normal latency and the usual concurrency.
+_NORMAL_S: Final = 10.0
+
+
+class ColdStart:
+    """Limit on concurrency after a cold start; a new ramp is cold.
+
+    Attributes
+    ----------
+    answers
+        Successful answers since the cold start.
+    """
+
+    def __init__(self, now: Seconds) -> None:
+        self.started_at = now
+        self.answers = 0
+
+    def restart(self, now: Seconds) -> None:
+        """Begin the ramp again."""
+        self.started_at = now
+        self.answers = 0
+
+    def answered(self) -> None:
+        """Count a successful answer of normal latency."""
+        self.answers += 1
+
+    def limit(self, limits: BackendLimits, now: Seconds) -> int:
+        """Return the calls that the backend server can carry now."""
+        ceiling = hard_limit(limits)
+        cold = max(1, min(limits.cold_slots, ceiling))
+        opened = max(0, ceiling - cold)
+        by_time = 1.0
+        if limits.warm_up_s > 0:
+            by_time = (now - self.started_at) / limits.warm_up_s
+        by_answers = self.answers // _ANSWERS_PER_SLOT
+        return min(ceiling, cold + min(by_answers, int(opened * by_time)))
+
+    def is_cold(self, limits: BackendLimits, now: Seconds) -> bool:
+        """Tell whether the ramp still holds slots back."""
+        return self.limit(limits, now) < hard_limit(limits)
+
+
+class ColdStartSigns:
+    """Notices a cold start that the backend server did not announce.
+
+    Attributes
+    ----------
+    normal_s
+        Slowly adapting latency in seconds; 0 before the first answer.
+    """
+
+    def __init__(self) -> None:
+        self.normal_s: float = 0
+        self.concurrency: float = 0
+        self._slow_in_row = 0
+        self._answered_at = Seconds(0)
+
+    def is_slow(self, latency_s: float) -> bool:
+        """Tell whether a latency is several times the normal one."""
+        return 0 < self.normal_s * _SLOW_RATIO < latency_s
+
+    def answered(
+        self,
+        latency_s: float,
+        in_flight: int,
+        now: Seconds,
+    ) -> bool:
+        """Learn from an answer; tell whether a cold start is likely.
+
+        ``in_flight`` is the number of calls running when the answered call
+        was dispatched.
+        """
+        usual = max(1, self.concurrency * _SAME_CONCURRENCY)
+        is_sign = self.is_slow(latency_s) and in_flight <= usual
+        self._slow_in_row = self._slow_in_row + 1 if is_sign else 0
+        self._learn(latency_s, in_flight, now)
+        if self._slow_in_row < _SLOW_ANSWERS:
+            return False
+        self._slow_in_row = 0
+        return True
+
+    def _learn(self, latency_s: float, in_flight: int, now: Seconds) -> None:
+        if not self.normal_s:
+            self.normal_s = latency_s
+            self.concurrency = in_flight
+        elapsed = max(0, now - self._answered_at)
+        share = -math.expm1(-elapsed / _NORMAL_S)
+        self.normal_s += share * (latency_s - self.normal_s)
+        self.concurrency += share * (in_flight - self.concurrency)
+        self._answered_at = now
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/deadline_queue.py
@@ -0,0 +1,140 @@
+"""Bounded queue: by deadline within a tenant, fair between tenants."""
+
+import bisect
+import math
+from collections.abc import Mapping
+from operator import attrgetter
+
+from bilberryrail.core.ids import Seconds, TenantId
+from bilberryrail.policy.work import Work
+
+_by_deadline = attrgetter('deadline')
+
+
+class DeadlineQueue:
+    """Calls that wait for a slot.
+
+    The tenant with the smallest number of running calls per weight goes
+    next. Among equals the one with the smallest turn does: each call taken
+    advances the turn of its tenant by 1/weight, so that shares are kept even
+    when there is a single slot.
+    """
+
+    def __init__(self) -> None:
+        self._waiting: dict[TenantId, list[Work]] = {}
+        self._arrivals: list[Work] = []
+        self._turns: dict[TenantId, float] = {}
+        self._turn: float = 0
+
+    def __len__(self) -> int:
+        """Return the number of calls that wait."""
+        return len(self._arrivals)
+
+    @property
+    def next_deadline(self) -> float:
+        """Earliest deadline of a waiting call, infinite if there is none."""
+        return min(
+            (works[0].deadline for works in self._waiting.values()),
+            default=math.inf,
+        )
+
+    def ahead_of(self, tenant: TenantId, deadline: Seconds) -> int:
+        """Estimate how many calls leave the queue before a new one.
+
+        Tenants take turns, so a tenant with a long queue delays a call of
+        another one by little.
+        """
+        own = self._waiting.get(tenant, [])
+        position = bisect.bisect_right(own, deadline, key=_by_deadline)
+        others = len(self._waiting) - bool(own)
+        return min(len(self), position + others * (position + 1))
+
+    def push(
+        self,
+        work: Work,
+        capacity: int,
+        in_flight: Mapping[TenantId, int],
+    ) -> Work | None:
+        """Add a call; return the one that is pushed out, if any.
+
+        It is the newest call of the tenant that holds most calls, waiting
+        and running, per weight. It may be ``work`` itself.
+        """
+        waiting = self._waiting.setdefault(work.tenant, [])
+        bisect.insort_right(waiting, work, key=_by_deadline)
+        self._arrivals.append(work)
+        if len(self) <= capacity:
+            return None
+        return self._push_out(in_flight)
+
+    def pop(self, in_flight: Mapping[TenantId, int]) -> Work | None:
+        """Take the call that goes next."""
+        if not self._waiting:
+            return None
+        order = {
+            tenant: (
+                in_flight.get(tenant, 0) / works[0].weight,
+                self._turns.get(tenant, self._turn),
+                works[0].deadline,
+            )
+            for tenant, works in self._waiting.items()
+        }
+        tenant = min(order, key=order.__getitem__)
+        work = self._waiting[tenant][0]
+        self._advance_turn(work)
+        self.remove(work)
+        return work
+
+    def remove(self, work: Work) -> bool:
+        """Take a call out; tell whether it was waiting."""
+        if work not in self._arrivals:
+            return False
+        self._arrivals.remove(work)
+        waiting = self._waiting[work.tenant]
+        waiting.remove(work)
+        if not waiting:
+            self._waiting.pop(work.tenant)
+        return True
+
+    def expire(self, now: Seconds) -> tuple[Work, ...]:
+        """Take out the calls whose deadline has passed."""
+        if self.next_deadline > now:
+            return ()
+        expired = tuple(work for work in self._arrivals if work.deadline <= now)
+        for work in expired:
+            self.remove(work)
+        return expired
+
+    def clear(self) -> tuple[Work, ...]:
+        """Take out all calls."""
+        works = tuple(self._arrivals)
+        self._arrivals.clear()
+        self._waiting.clear()
+        return works
+
+    def _advance_turn(self, work: Work) -> None:
+        turn = max(self._turn, self._turns.get(work.tenant, 0))
+        self._turn = max(
+            self._turn,
+            min(
+                self._turns.get(tenant, self._turn) for tenant in self._waiting
+            ),
+        )
+        self._turns = {
+            tenant: later
+            for tenant, later in self._turns.items()
+            if later > self._turn
+        }
+        self._turns[work.tenant] = turn + 1 / work.weight
+
+    def _push_out(self, in_flight: Mapping[TenantId, int]) -> Work:
+        shares = {
+            tenant: (len(works) + in_flight.get(tenant, 0)) / works[0].weight
+            for tenant, works in self._waiting.items()
+        }
+        tenant = max(shares, key=shares.__getitem__)
+        newest = next(
+            work for work in reversed(self._arrivals) if work.tenant == tenant
+        )
+        self.remove(newest)
+        return newest
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/limiter.py
@@ -0,0 +1,130 @@
+"""Concurrency limit of a target that follows the latency of its calls."""
+
+import math
+from typing import Final
+
+from bilberryrail.core.ids import Seconds
+from bilberryrail.core.records import BackendLimits
+from bilberryrail.policy.settings import AdmissionSettings
+
+#: Share of a new answer in the smoothed latency. With exponential service
+#: times it keeps the standard deviation near 10 % of the mean, so that noise
+#: alone stays well below ``latency_tolerance``.
+_SMOOTHING: Final = 0.02
+#: Time constants with which the minimum follows the smoothed latency down
+#: and up. A lasting change of latency becomes the new normal after the
+#: second one.
+_FALL_S: Final = 1.0
+_RENEWAL_S: Final = 30.0
+_DECREASE: Final = 0.7
+#: Shortest time between two decreases, so that one burst of late answers
+#: counts once.
+_DECREASE_INTERVAL_S: Final = 0.005
+#: The mean age of a few running calls varies more than the smoothed latency,
+#: so it must exceed the tolerance by this factor.
+_AGE_MARGIN: Final = 2.0
+
+
+def hard_limit(limits: BackendLimits) -> int:
+    """Return the number of calls that must never be exceeded."""
+    return min(limits.slots, limits.connections)
+
+
+class LatencyLimiter:
+    """Adaptive limit: additive increase, multiplicative decrease.
+
+    Attributes
+    ----------
+    smoothed_s
+        Smoothed latency in seconds; 0 before the first answer.
+    minimum_s
+        Slowly renewed minimum of the smoothed latency in seconds.
+    """
+
+    def __init__(self, settings: AdmissionSettings) -> None:
+        self.settings = settings
+        self.smoothed_s: float = 0
+        self.minimum_s: float = 0
+        self._limit = math.inf
+        self._decreased_at = -math.inf
+        self._answered_at = Seconds(0)
+
+    def limit(self, limits: BackendLimits) -> int:
+        """Return the limit within the configured bounds."""
+        ceiling = hard_limit(limits)
+        floor = min(self.settings.minimum_limit, ceiling)
+        return int(max(floor, min(self._limit, ceiling)))
+
+    def answered(
+        self,
+        latency_s: float,
+        in_flight: int,
+        limits: BackendLimits,
+        now: Seconds,
+    ) -> None:
+        """Learn from an answer.
+
+        Parameters
+        ----------
+        latency_s
+            Time the backend server took, in seconds.
+        in_flight
+            Calls that were running, this one included.
+        limits
+            Configured limits of the backend server.
+        now
+            Instant of the answer.
+        """
+        self._learn(latency_s, now)
+        if self.smoothed_s > self._highest_normal_s:
+            self._decrease(limits, now)
+        elif in_flight >= self.limit(limits):
+            current = min(self._limit, hard_limit(limits))
+            self._limit = current + 1 / max(current, 1)
+
+    def aged(
+        self,
+        mean_age_s: float,
+        in_flight: int,
+        limits: BackendLimits,
+        now: Seconds,
+    ) -> None:
+        """Learn from running calls that have no answer yet.
+
+        A backend server that stalls sends no answers to learn from. Ages
+        count only while at least half of the limit is in use.
+        """
+        if in_flight * 2 < self.limit(limits):
+            return
+        if self.minimum_s and mean_age_s > self.suspicious_age_s:
+            self._decrease(limits, now)
+
+    @property
+    def suspicious_age_s(self) -> float:
+        """Mean age of running calls above which the limit falls."""
+        return _AGE_MARGIN * self._highest_normal_s
+
+    @property
+    def _highest_normal_s(self) -> float:
+        return self.settings.latency_tolerance * self.minimum_s
+
+    def _learn(self, latency_s: float, now: Seconds) -> None:
+        if not self.minimum_s:
+            self.smoothed_s = latency_s
+            self.minimum_s = latency_s
+        self.smoothed_s += _SMOOTHING * (latency_s - self.smoothed_s)
+        difference = self.smoothed_s - self.minimum_s
+        constant = _FALL_S if difference < 0 else _RENEWAL_S
+        elapsed = max(0, now - self._answered_at)
+        self.minimum_s += difference * -math.expm1(-elapsed / constant)
+        self._answered_at = now
+
+    def _decrease(self, limits: BackendLimits, now: Seconds) -> None:
+        interval = max(_DECREASE_INTERVAL_S, self.minimum_s)
+        if now - self._decreased_at < interval:
+            return
+        self._decreased_at = now
+        self._limit = max(
+            min(self._limit, hard_limit(limits)) * _DECREASE,
+            min(self.settings.minimum_limit, hard_limit(limits)),
+        )
--- a/packages/policy/bilberryrail/policy/settings.py
+++ b/packages/policy/bilberryrail/policy/settings.py
@@ -74,12 +74,16 @@
         Length of the queue for each slot of the backend server.
     latency_tolerance
         Ratio of latency to its long-term minimum above which the limit falls.
+    cancel_on_link_loss
+        Whether the loss of the link to an ingress cancels its idempotent
+        calls.
     """
 
     queue_per_slot: _Rate = 1.0
     latency_tolerance: Annotated[float, msgspec.Meta(gt=1)] = 2.0
     minimum_limit: _Count = 1
     health_interval_s: _Duration = 0.25
+    cancel_on_link_loss: bool = True
 
 
 class RetrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/work.py
@@ -0,0 +1,115 @@
+"""Calls that a target holds: queued or running."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from bilberryrail.core.ids import AttemptId, NodeId, Seconds, TenantId
+from bilberryrail.policy.events import CallLimits, DispatchId
+
+
+@dataclass(frozen=True, slots=True)
+class Submitter:
+    """An attempt that waits for a final message."""
+
+    peer: NodeId
+    attempt: AttemptId
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """One call and every attempt that waits for it.
+
+    Attributes
+    ----------
+    source
+        Attempt whose body the shell holds for this call.
+    deadline
+        Instant by which the answer is needed.
+    sequence
+        Sequence number of its reservation, if it has one.
+    submitters
+        Attempts that get the final message; empty once all are cancelled.
+    dispatch
+        Set when the call is sent to the backend server.
+    in_flight
+        Calls running when it was dispatched, this one included.
+    """
+
+    source: Submitter
+    tenant: TenantId
+    weight: float
+    limits: CallLimits
+    deadline: Seconds
+    sequence: int | None = None
+    submitters: list[Submitter] = field(default_factory=list)
+    dispatch: DispatchId | None = None
+    started_at: Seconds = Seconds(0)
+    in_flight: int = 0
+    aborted: bool = False
+
+
+class WorkTable:
+    """Index of the calls that a target holds.
+
+    Attributes
+    ----------
+    running
+        Calls sent to the backend server that it has not finished.
+    tenants
+        Running calls of each tenant.
+    """
+
+    def __init__(self) -> None:
+        self.running: dict[DispatchId, Work] = {}
+        self.tenants: Counter[TenantId] = Counter()
+        self.by_submitter: dict[Submitter, Work] = {}
+        self.by_sequence: dict[int, Work] = {}
+
+    def attach(self, work: Work, submitter: Submitter) -> None:
+        """Let an attempt wait for a call."""
+        work.submitters.append(submitter)
+        self.by_submitter[submitter] = work
+        if work.sequence is not None:
+            self.by_sequence[work.sequence] = work
+
+    def detach(self, submitter: Submitter) -> Work | None:
+        """Forget an attempt and return the call it waited for."""
+        work = self.by_submitter.pop(submitter, None)
+        if work is not None:
+            work.submitters.remove(submitter)
+        return work
+
+    def of_peer(self, peer: NodeId) -> tuple[Submitter, ...]:
+        """List the attempts of an ingress node."""
+        return tuple(
+            submitter
+            for submitter in self.by_submitter
+            if submitter.peer == peer
+        )
+
+    def start(self, work: Work, dispatch: DispatchId, now: Seconds) -> None:
+        """Count a call as running."""
+        work.dispatch = dispatch
+        work.started_at = now
+        self.running[dispatch] = work
+        self.tenants[work.tenant] += 1
+        work.in_flight = len(self.running)
+
+    def finish(self, work: Work) -> tuple[Submitter, ...]:
+        """Forget a call and return the attempts that waited for it."""
+        if work.dispatch is not None:
+            self.running.pop(work.dispatch)
+            self.tenants -= Counter((work.tenant,))
+        if work.sequence is not None:
+            self.by_sequence.pop(work.sequence, None)
+        waiting = tuple(work.submitters)
+        for submitter in waiting:
+            self.detach(submitter)
+        return waiting
+
+    def mean_age_s(self, now: Seconds) -> float:
+        """Return the mean time in seconds that running calls have taken."""
+        if not self.running:
+            return 0
+        started = sum(work.started_at for work in self.running.values())
+        return now - started / len(self.running)
