--- /dev/null
+++ b/packages/policy/bilberryrail/policy/admission.py
@@ -0,0 +1,161 @@
+"""Checks that a target makes before it looks for a slot."""
+
+from dataclasses import dataclass
+
+from bilberryrail.core.ids import RegionId, Seconds, TenantId
+from bilberryrail.core.load import Outcome, Reason
+from bilberryrail.core.records import TenantConfig
+from bilberryrail.policy.backend_state import BackendState
+from bilberryrail.policy.events import (
+    AttemptReceived,
+    CallLimits,
+    ReservationReceived,
+)
+from bilberryrail.policy.settings import EngineSettings
+from bilberryrail.policy.tokens import ReservationError, TokenFault
+from bilberryrail.policy.view import ClusterView
+from bilberryrail.policy.work import Submitter, Work
+
+Request = AttemptReceived | ReservationReceived
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Final message to an attempt that gets no answer."""
+
+    reason: Reason
+    retry_after_s: float = 0
+    outcome: Outcome = Outcome.NOT_RUN
+
+
+class Gate:
+    """Checks that need no knowledge of queue and slots.
+
+    Attributes
+    ----------
+    draining
+        Whether this node was told to shut down.
+    """
+
+    def __init__(self, settings: EngineSettings) -> None:
+        self.settings = settings
+        self.identity = settings.identity
+        self.draining = False
+
+    def refuse_request(
+        self,
+        request: Request,
+        view: ClusterView,
+    ) -> Refusal | None:
+        """Refuse what this node must not handle at all."""
+        if request.service != self.identity.service:
+            return Refusal(Reason.WRONG_SERVICE)
+        tenant = view.tenant(request.tenant)
+        if tenant is None:
+            return Refusal(Reason.UNKNOWN_TENANT)
+        if not self._is_home(request.limits.home_regions, tenant):
+            return Refusal(Reason.HOME_REGION)
+        return None
+
+    def refuse_work(
+        self,
+        view: ClusterView,
+        backend: BackendState,
+    ) -> Refusal | None:
+        """Refuse all new work while this target takes none."""
+        if self.draining or backend.draining:
+            return Refusal(Reason.DRAINING)
+        return self.refuse_queued(view, backend)
+
+    def refuse_queued(
+        self,
+        view: ClusterView,
+        backend: BackendState,
+    ) -> Refusal | None:
+        """Refuse work that already waits; draining lets it finish."""
+        if view.service(self.identity.service) is None:
+            return Refusal(Reason.UNKNOWN_SERVICE)
+        if view.is_zone_out(self.identity.zone):
+            return Refusal(Reason.ZONE_OUT)
+        if backend.down:
+            return Refusal(
+                Reason.BACKEND_DOWN,
+                self.settings.admission.health_interval_s,
+            )
+        return None
+
+    def logged_tenant(
+        self,
+        tenant: TenantId,
+        view: ClusterView,
+    ) -> TenantId | None:
+        """Return the tenant if its id may be stored in this region."""
+        config = view.tenant(tenant)
+        if config is None or not self._is_home((), config):
+            return None
+        return tenant
+
+    def make_work(
+        self,
+        attempt: AttemptReceived,
+        view: ClusterView,
+        now: Seconds,
+    ) -> Work:
+        """Describe an attempt that passed ``refuse_request``."""
+        tenant = view.tenant(attempt.tenant) or TenantConfig(attempt.tenant)
+        limits = CallLimits(
+            remaining_s=attempt.limits.remaining_s,
+            retry_budget=attempt.limits.retry_budget,
+            home_regions=_narrow(attempt.limits.home_regions, tenant),
+        )
+        return Work(
+            source=Submitter(attempt.peer, attempt.attempt),
+            tenant=tenant.tenant,
+            weight=tenant.weight,
+            limits=limits,
+            deadline=Seconds(now + limits.remaining_s),
+            logged_tenant=self.logged_tenant(tenant.tenant, view),
+        )
+
+    def _is_home(
+        self,
+        home_regions: tuple[RegionId, ...],
+        tenant: TenantConfig,
+    ) -> bool:
+        region = self.identity.region
+        return (not home_regions or region in home_regions) and (
+            not tenant.home_regions or region in tenant.home_regions
+        )
+
+
+def reservation_refusal(error: ReservationError) -> Refusal:
+    """Tell the caller what a reservation error means for its call."""
+    match error.fault:
+        case TokenFault.OTHER_INCARNATION:
+            return Refusal(
+                Reason.OTHER_INCARNATION,
+                outcome=Outcome.UNKNOWN,
+            )
+        case TokenFault.VOID:
+            return Refusal(Reason.RESERVATION_EXPIRED)
+        case TokenFault.FORGOTTEN:
+            return Refusal(
+                Reason.RESERVATION_EXPIRED,
+                outcome=Outcome.UNKNOWN,
+            )
+        case TokenFault.OUTCOME_UNKNOWN:
+            return Refusal(Reason.BACKEND_FAILED, outcome=Outcome.UNKNOWN)
+        case TokenFault.ANSWER_NOT_KEPT:
+            return Refusal(Reason.ANSWER_NOT_KEPT, outcome=Outcome.COMPLETED)
+    return Refusal(Reason.RESERVATION_INVALID, outcome=Outcome.INVALID)
+
+
+def _narrow(
+    home_regions: tuple[RegionId, ...],
+    tenant: TenantConfig,
+) -> tuple[RegionId, ...]:
+    if not home_regions or not tenant.home_regions:
+        return home_regions or tenant.home_regions
+    return tuple(
+        region for region in home_regions if region in tenant.home_regions
+    )
--- a/packages/policy/bilberryrail/policy/backend_state.py
+++ b/packages/policy/bilberryrail/policy/backend_state.py
@@ -21,7 +21,10 @@
 #: Started calls in a row that must fail to count as a restart; a single one
 #: may have failed for a reason of its own.
 _FAILED_CALLS: Final = 2
+#: Interval at which a stall is looked at, so that the limit keeps falling.
+_STALL_INTERVAL_S: Final = 0.005
 _SERVER_ERROR: Final = 500
+_OVERLOADED: Final = 503
 
 
 class BackendState:
@@ -46,6 +49,7 @@
         self.check_at = now
         self._failed_checks = 0
         self._failed_calls = 0
+        self._answered_at = now
         self._boot: str | None = None
         self._reported_cold = False
         self._zone_out = False
@@ -70,41 +74,54 @@
     def answered(
         self,
         work: Work,
+        table: WorkTable,
         status: int,
         limits: BackendLimits,
         now: Seconds,
     ) -> None:
-        """Learn from the answer to a call."""
+        """Learn from the answer to a call, which still counts as running.
+
+        Server errors are often faster than real answers, so they do not
+        count as latency.
+        """
         self._failed_calls = 0
+        waited_s = table.waiting_s(self._answered_at, now)
+        self._answered_at = now
+        if status == _OVERLOADED:
+            self.limiter.shed(limits, now)
+        if status >= _SERVER_ERROR:
+            return
         latency_s = now - work.started_at
         is_slow = self.signs.is_slow(latency_s)
         if self.signs.answered(latency_s, work.in_flight, now):
             self.ramp.restart(now)
-        elif status < _SERVER_ERROR and not is_slow:
+        elif not is_slow:
             self.ramp.answered()
-        self.limiter.answered(latency_s, work.in_flight, limits, now)
+        self.limiter.answered(waited_s, work.in_flight, limits, now)
 
-    def aged(
+    def waited(
         self,
         table: WorkTable,
         limits: BackendLimits,
         now: Seconds,
     ) -> None:
-        """Learn from the age of running calls."""
-        in_flight = len(table.running)
-        self.limiter.aged(table.mean_age_s(now), in_flight, limits, now)
+        """Learn from the time that running calls wait for any answer."""
+        waiting_s = table.waiting_s(self._answered_at, now)
+        self.limiter.waited(waiting_s, len(table.running), limits, now)
 
-    def suspicious_at(self, table: WorkTable, now: Seconds) -> float:
-        """Return when the age of running calls should be looked at next."""
-        suspicious_s = self.limiter.suspicious_age_s
-        if not table.running or not suspicious_s:
+    def stall_at(self, table: WorkTable, now: Seconds) -> float:
+        """Return when running calls without an answer will be a stall."""
+        in_flight = len(table.running)
+        stall_s = self.limiter.stall_s(in_flight)
+        if not in_flight or not stall_s:
             return math.inf
-        wait_s = suspicious_s - table.mean_age_s(now)
-        return now + max(wait_s, self.limiter.minimum_s)
+        left_s = stall_s - table.waiting_s(self._answered_at, now)
+        return now + max(left_s / in_flight, _STALL_INTERVAL_S)
 
     def connection_failed(self, now: Seconds) -> None:
         """Note that the backend server accepted no connection."""
         self.down = True
+        self.check_at = now
         self.ramp.restart(now)
 
     def call_failed(self, now: Seconds) -> None:
--- a/packages/policy/bilberryrail/policy/cold_start.py
+++ b/packages/policy/bilberryrail/policy/cold_start.py
@@ -19,6 +19,8 @@
 #: Concurrency, as a multiple of the usual one, up to which it counts as
 #: unchanged.
 _SAME_CONCURRENCY: Final = 1.5
+#: Answers after which the normal latency is known.
+_FIRST_ANSWERS: Final = 50
 #: Time constant of the normal latency and the usual concurrency.
 _NORMAL_S: Final = 10.0
 
@@ -73,12 +75,14 @@
     def __init__(self) -> None:
         self.normal_s: float = 0
         self.concurrency: float = 0
+        self._answers = 0
         self._slow_in_row = 0
         self._answered_at = Seconds(0)
 
     def is_slow(self, latency_s: float) -> bool:
         """Tell whether a latency is several times the normal one."""
-        return 0 < self.normal_s * _SLOW_RATIO < latency_s
+        is_known = self._answers >= _FIRST_ANSWERS
+        return is_known and latency_s > self.normal_s * _SLOW_RATIO
 
     def answered(
         self,
@@ -101,11 +105,12 @@
         return True
 
     def _learn(self, latency_s: float, in_flight: int, now: Seconds) -> None:
-        if not self.normal_s:
-            self.normal_s = latency_s
-            self.concurrency = in_flight
+        self._answers += 1
         elapsed = max(0, now - self._answered_at)
         share = -math.expm1(-elapsed / _NORMAL_S)
+        if self._answers <= _FIRST_ANSWERS:
+            # The mean of the first answers; a single one may be far off.
+            share = 1 / self._answers
         self.normal_s += share * (latency_s - self.normal_s)
         self.concurrency += share * (in_flight - self.concurrency)
         self._answered_at = now
--- a/packages/policy/bilberryrail/policy/limiter.py
+++ b/packages/policy/bilberryrail/policy/limiter.py
@@ -20,9 +20,10 @@
 #: Shortest time between two decreases, so that one burst of late answers
 #: counts once.
 _DECREASE_INTERVAL_S: Final = 0.005
-#: The mean age of a few running calls varies more than the smoothed latency,
-#: so it must exceed the tolerance by this factor.
-_AGE_MARGIN: Final = 2.0
+#: Calls beyond those running whose time must pass without any answer before
+#: that counts as a stall. With exponential service times the probability of
+#: a false alarm is below 1e-6 for each answer, however few calls run.
+_STALL_MARGIN: Final = 8
 
 
 def hard_limit(limits: BackendLimits) -> int:
@@ -45,6 +46,7 @@
         self.settings = settings
         self.smoothed_s: float = 0
         self.minimum_s: float = 0
+        self._answers = 0
         self._limit = math.inf
         self._decreased_at = -math.inf
         self._answered_at = Seconds(0)
@@ -57,7 +59,7 @@
 
     def answered(
         self,
-        latency_s: float,
+        waited_s: float,
         in_flight: int,
         limits: BackendLimits,
         now: Seconds,
@@ -66,8 +68,11 @@
 
         Parameters
         ----------
-        latency_s
-            Time the backend server took, in seconds.
+        waited_s
+            Time that running calls have spent since the last answer of any
+            call, summed over the calls, in seconds. Its mean is the mean
+            latency (Little's law), and it rises with the first answers
+            after a slowdown, whereas the latency of those is still short.
         in_flight
             Calls that were running, this one included.
         limits
@@ -75,44 +80,51 @@
         now
             Instant of the answer.
         """
-        self._learn(latency_s, now)
+        self._learn(waited_s, now)
         if self.smoothed_s > self._highest_normal_s:
             self._decrease(limits, now)
         elif in_flight >= self.limit(limits):
             current = min(self._limit, hard_limit(limits))
             self._limit = current + 1 / max(current, 1)
 
-    def aged(
+    def waited(
         self,
-        mean_age_s: float,
+        waiting_s: float,
         in_flight: int,
         limits: BackendLimits,
         now: Seconds,
     ) -> None:
         """Learn from running calls that have no answer yet.
 
-        A backend server that stalls sends no answers to learn from. Ages
-        count only while at least half of the limit is in use.
+        A backend server that stalls sends no answers to learn from.
+
+        Parameters
+        ----------
+        waiting_s
+            As ``waited_s`` of ``answered``, up to now.
         """
-        if in_flight * 2 < self.limit(limits):
-            return
-        if self.minimum_s and mean_age_s > self.suspicious_age_s:
+        if 0 < self.stall_s(in_flight) < waiting_s:
             self._decrease(limits, now)
 
-    @property
-    def suspicious_age_s(self) -> float:
-        """Mean age of running calls above which the limit falls."""
-        return _AGE_MARGIN * self._highest_normal_s
+    def shed(self, limits: BackendLimits, now: Seconds) -> None:
+        """Learn that the backend server refused a call as overloaded."""
+        self._decrease(limits, now)
+
+    def stall_s(self, in_flight: int) -> float:
+        """Return the ``waiting_s`` that counts as a stall, in seconds."""
+        return (in_flight + _STALL_MARGIN) * self._highest_normal_s
 
     @property
     def _highest_normal_s(self) -> float:
         return self.settings.latency_tolerance * self.minimum_s
 
-    def _learn(self, latency_s: float, now: Seconds) -> None:
-        if not self.minimum_s:
-            self.smoothed_s = latency_s
-            self.minimum_s = latency_s
-        self.smoothed_s += _SMOOTHING * (latency_s - self.smoothed_s)
+    def _learn(self, waited_s: float, now: Seconds) -> None:
+        self._answers += 1
+        share = max(_SMOOTHING, 1 / self._answers)
+        self.smoothed_s += share * (waited_s - self.smoothed_s)
+        if share > _SMOOTHING:
+            # The mean of the first answers; a single one may be far off.
+            self.minimum_s = self.smoothed_s
         difference = self.smoothed_s - self.minimum_s
         constant = _FALL_S if difference < 0 else _RENEWAL_S
         elapsed = max(0, now - self._answered_at)
--- a/packages/policy/bilberryrail/policy/reservations.py
+++ b/packages/policy/bilberryrail/policy/reservations.py
@@ -144,6 +144,14 @@
             lambda reservation: self._check(reservation, service, tenant),
         )
 
+    def sequence_of(self, token: Token) -> int | None:
+        """Return the sequence number of a token issued here."""
+        return (
+            self.signer.decode(token)
+            .map(lambda reservation: reservation.sequence)
+            .unwrap_or(None)
+        )
+
     def may_have_run(self, token: Token) -> bool:
         """Tell whether a call with this token may run or have run."""
         match self.signer.decode(token):
--- /dev/null
+++ b/packages/policy/bilberryrail/policy/target.py
@@ -0,0 +1,344 @@
+"""Target role of a node: admits calls to its backend server."""
+
+import random
+
+from result import Err, Ok
+
+from bilberryrail.control.messages import DrainRequested, LinkDown
+from bilberryrail.core.ids import (
+    CallId,
+    Incarnation,
+    NodeId,
+    Seconds,
+    TenantId,
+)
+from bilberryrail.core.load import LoadReport, Outcome, Reason
+from bilberryrail.policy import actions, events
+from bilberryrail.policy.admission import (
+    Gate,
+    Refusal,
+    Request,
+    reservation_refusal,
+)
+from bilberryrail.policy.dispatcher import Dispatcher
+from bilberryrail.policy.ledger import Ledger
+from bilberryrail.policy.reservations import Entry, ReservationTable
+from bilberryrail.policy.settings import EngineSettings
+from bilberryrail.policy.tokens import KEY_BYTES, TokenSigner
+from bilberryrail.policy.view import ClusterView
+from bilberryrail.policy.work import Submitter, Work
+
+
+class TargetRole:
+    """Decides which calls reach the backend server beside this node.
+
+    Parameters
+    ----------
+    settings
+        Settings of the engine.
+    ledger
+        Ledger shared with the ingress role.
+    rng
+        Source of the token key and of the first dispatch id.
+    incarnation
+        Incarnation that tokens name.
+
+    Attributes
+    ----------
+    counters
+        Counters of decisions, for metrics.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        ledger: Ledger,
+        rng: random.Random,
+        incarnation: Incarnation,
+    ) -> None:
+        self.settings = settings
+        signer = TokenSigner(
+            settings.identity.node,
+            incarnation,
+            rng.randbytes(KEY_BYTES),
+        )
+        self.reservations = ReservationTable(settings.reservations, signer)
+        self.gate = Gate(settings)
+        self.dispatcher = Dispatcher(settings, ledger, self.reservations, rng)
+        self.outbox = self.dispatcher.outbox
+        self.counters = self.outbox.counters
+        self.wakeup_at = Seconds(0)
+        self._started = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether no call runs or waits."""
+        dispatcher = self.dispatcher
+        return not dispatcher.table.running and not len(dispatcher.queue)
+
+    def load(self, now: Seconds) -> LoadReport:
+        """Report the exact state of this target."""
+        return self.dispatcher.capacity.load(now)
+
+    def take_cancelled_nested(self) -> tuple[CallId, ...]:
+        """Return nested calls that the ingress role must cancel, once.
+
+        The engine collects them after each ``handle``.
+        """
+        nested = tuple(self.dispatcher.cancelled_nested)
+        self.dispatcher.cancelled_nested.clear()
+        return nested
+
+    def handle(
+        self,
+        event: events.Event,
+        now: Seconds,
+        view: ClusterView,
+    ) -> tuple[actions.Action, ...]:
+        """Handle one event; events of other roles only let time pass."""
+        self._look_around(now, view)
+        self._match_call(event, now, view)
+        self._match_backend(event, now)
+        refusal = self.gate.refuse_queued(view, self.dispatcher.backend)
+        if refusal is not None:
+            self.dispatcher.flush(refusal, now)
+        self.dispatcher.pump(now)
+        if self.dispatcher.backend.is_check_due(now):
+            self.outbox.add(actions.CheckHealth())
+        self.wakeup_at = self.dispatcher.capacity.wakeup_at(now)
+        return self.outbox.take()
+
+    def _look_around(self, now: Seconds, view: ClusterView) -> None:
+        backend = self.dispatcher.backend
+        if not self._started:
+            self._started = True
+            backend.ramp.restart(now)
+            backend.check_at = now
+        config = view.service(self.settings.identity.service)
+        if config is not None:
+            self.dispatcher.capacity.limits = config.limits
+        is_out = view.is_zone_out(self.settings.identity.zone)
+        backend.zone_seen(now, out=is_out)
+        self.reservations.expire(now)
+
+    def _match_call(
+        self,
+        event: events.Event,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        match event:
+            case events.AttemptReceived():
+                self._attempt(event, now, view)
+            case events.ReservationReceived():
+                self._reserve(event, now, view)
+            case events.CancelReceived(peer, attempt):
+                self.dispatcher.cancel(Submitter(peer, attempt))
+            case events.ProbeReceived(peer, probe):
+                reply = actions.SendProbeReply(peer, probe, self.load(now))
+                self.outbox.add(reply)
+            case LinkDown(peer):
+                self._link_down(peer)
+
+    def _match_backend(self, event: events.Event, now: Seconds) -> None:
+        match event:
+            case events.BackendAnswered():
+                if event.report is not None:
+                    self.dispatcher.backend.reported(event.report, now)
+                self.dispatcher.answered(event, now)
+            case events.BackendFailed():
+                self.dispatcher.failed(event, now)
+            case events.BackendHealth(report):
+                self.dispatcher.backend.health(report, now)
+            case DrainRequested():
+                self.gate.draining = True
+                self.dispatcher.capacity.draining = True
+
+    def _link_down(self, peer: NodeId) -> None:
+        # The attempts are forgotten in any case: a restarted ingress may use
+        # their ids again, and must not get the answers of older calls.
+        abort = self.settings.admission.cancel_on_link_loss
+        for submitter in self.dispatcher.table.of_peer(peer):
+            self.dispatcher.cancel(submitter, abort=abort)
+
+    def _attempt(
+        self,
+        attempt: events.AttemptReceived,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        submitter = Submitter(attempt.peer, attempt.attempt)
+        if submitter in self.dispatcher.table.by_submitter:
+            # The same message again; its final message is still to come.
+            return
+        refusal = self.gate.refuse_request(attempt, view)
+        if refusal is not None:
+            refusal = self._true_refusal(attempt, refusal)
+        elif attempt.token is None:
+            refusal = self._submit(attempt, None, now, view)
+        else:
+            refusal = self._use_token(attempt, attempt.token, now, view)
+        if refusal is not None:
+            self._refuse(attempt, refusal, now, view)
+
+    def _true_refusal(
+        self,
+        attempt: events.AttemptReceived,
+        refusal: Refusal,
+    ) -> Refusal:
+        """Keep "not run" true for a token that was used before."""
+        token = attempt.token
+        if token is None or not self._is_used(token):
+            return refusal
+        return Refusal(refusal.reason, outcome=Outcome.UNKNOWN)
+
+    def _is_used(self, token: events.Token) -> bool:
+        sequence = self.reservations.sequence_of(token)
+        return (
+            sequence in self.dispatcher.table.by_sequence
+            or self.reservations.may_have_run(token)
+        )
+
+    def _use_token(
+        self,
+        attempt: events.AttemptReceived,
+        token: events.Token,
+        now: Seconds,
+        view: ClusterView,
+    ) -> Refusal | None:
+        found = self.reservations.find(
+            token,
+            attempt.service,
+            attempt.tenant,
+            now,
+        )
+        match found:
+            case Err(error):
+                return reservation_refusal(error)
+            case Ok(Entry(answer=None) as entry):
+                return self._join_or_submit(attempt, entry, now, view)
+            case Ok(entry):
+                self._send_kept(attempt, entry, now, view)
+        return None
+
+    def _join_or_submit(
+        self,
+        attempt: events.AttemptReceived,
+        entry: Entry,
+        now: Seconds,
+        view: ClusterView,
+    ) -> Refusal | None:
+        held = self.dispatcher.table.by_sequence.get(entry.sequence)
+        if held is None:
+            return self._submit(attempt, entry, now, view)
+        submitter = Submitter(attempt.peer, attempt.attempt)
+        self.dispatcher.table.attach(held, submitter)
+        self.outbox.log(
+            'attach',
+            submitter,
+            held.logged_tenant,
+            self.load(now),
+        )
+        self._drop_body(attempt)
+        return None
+
+    def _submit(
+        self,
+        attempt: events.AttemptReceived,
+        entry: Entry | None,
+        now: Seconds,
+        view: ClusterView,
+    ) -> Refusal | None:
+        refusal = self.gate.refuse_work(view, self.dispatcher.backend)
+        if refusal is not None:
+            return refusal
+        config = view.service(attempt.service)
+        if entry is None and config is not None and not config.idempotent:
+            return Refusal(
+                Reason.RESERVATION_REQUIRED,
+                outcome=Outcome.INVALID,
+            )
+        work: Work = self.gate.make_work(attempt, view, now)
+        work.sequence = None if entry is None else entry.sequence
+        self.dispatcher.submit(work, now)
+        return None
+
+    def _send_kept(
+        self,
+        attempt: events.AttemptReceived,
+        entry: Entry,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        if entry.answer is None:
+            return
+        self._drop_body(attempt)
+        submitter = Submitter(attempt.peer, attempt.attempt)
+        tenant = self.gate.logged_tenant(attempt.tenant, view)
+        self.outbox.log('kept-answer', submitter, tenant, self.load(now))
+        self.outbox.add(
+            actions.SendKeptAnswer(
+                peer=attempt.peer,
+                attempt=attempt.attempt,
+                sequence=entry.sequence,
+                status=entry.answer.status,
+                load=self.load(now),
+            ),
+        )
+
+    def _reserve(
+        self,
+        request: events.ReservationReceived,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        refusal = self.gate.refuse_request(
+            request,
+            view,
+        ) or self.gate.refuse_work(view, self.dispatcher.backend)
+        if refusal is None and request.limits.remaining_s <= 0:
+            refusal = Refusal(Reason.DEADLINE)
+        if refusal is None:
+            refusal = self._issue(request, now, view)
+        if refusal is not None:
+            self._refuse(request, refusal, now, view)
+
+    def _issue(
+        self,
+        request: events.ReservationReceived,
+        now: Seconds,
+        view: ClusterView,
+    ) -> Refusal | None:
+        token = self.reservations.issue(request.service, request.tenant, now)
+        if token is None:
+            wait_s = self.reservations.next_expiry - now
+            longest_s = self.settings.reservations.valid_s
+            return Refusal(Reason.OVERLOADED, min(wait_s, longest_s))
+        submitter = Submitter(request.peer, request.attempt)
+        tenant = self.gate.logged_tenant(request.tenant, view)
+        self.outbox.log('reserve', submitter, tenant, self.load(now))
+        self.outbox.add(
+            actions.SendToken(
+                peer=request.peer,
+                attempt=request.attempt,
+                token=token,
+                load=self.load(now),
+            ),
+        )
+        return None
+
+    def _refuse(
+        self,
+        request: Request,
+        refusal: Refusal,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
+        if isinstance(request, events.AttemptReceived):
+            self._drop_body(request)
+        tenant: TenantId | None = self.gate.logged_tenant(request.tenant, view)
+        submitter = Submitter(request.peer, request.attempt)
+        self.outbox.refuse(submitter, refusal, tenant, self.load(now))
+
+    def _drop_body(self, attempt: events.AttemptReceived) -> None:
+        self.outbox.drop_body(Submitter(attempt.peer, attempt.attempt))
--- a/packages/policy/bilberryrail/policy/work.py
+++ b/packages/policy/bilberryrail/policy/work.py
@@ -1,7 +1,7 @@
 """Calls that a target holds: queued or running."""
 
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from bilberryrail.core.ids import AttemptId, NodeId, Seconds, TenantId
 from bilberryrail.policy.events import CallLimits, DispatchId
@@ -33,6 +33,10 @@
         Set when the call is sent to the backend server.
     in_flight
         Calls running when it was dispatched, this one included.
+    aborted
+        Whether it was cancelled at the backend server.
+    logged_tenant
+        Tenant to write to the log; None where it may not be stored.
     """
 
     source: Submitter
@@ -46,6 +50,11 @@
     started_at: Seconds = Seconds(0)
     in_flight: int = 0
     aborted: bool = False
+    logged_tenant: TenantId | None = None
+
+    def remaining_limits(self, now: Seconds) -> CallLimits:
+        """Return the limits with the time waited taken off."""
+        return replace(self.limits, remaining_s=self.deadline - now)
 
 
 class WorkTable:
@@ -107,9 +116,13 @@
             self.detach(submitter)
         return waiting
 
-    def mean_age_s(self, now: Seconds) -> float:
-        """Return the mean time in seconds that running calls have taken."""
-        if not self.running:
-            return 0
-        started = sum(work.started_at for work in self.running.values())
-        return now - started / len(self.running)
+    def waiting_s(self, since: Seconds, now: Seconds) -> float:
+        """Sum up in seconds how long calls have been running since then.
+
+        Aborted calls are left out, since they give no answer.
+        """
+        return sum(
+            now - max(since, work.started_at)
+            for work in self.running.values()
+            if not work.aborted
+        )
