Apply new tenant configuration to waiting calls

Cause: home regions were checked on arrival only, so a call that waited while its tenant's home regions changed could still be served here. Change: when the replayed state changes, waiting calls are checked again and refused as not run. Seen: with the check taken out, the new test finds no refusal; with it, the waiting call is refused with reason home-region and not dispatched.

--- a/packages/policy/bilberryrail/policy/admission.py
+++ b/packages/policy/bilberryrail/policy/admission.py
@@ -50,10 +50,19 @@
         """Refuse what this node must not handle at all."""
         if request.service != self.identity.service:
             return Refusal(Reason.WRONG_SERVICE)
-        tenant = view.tenant(request.tenant)
-        if tenant is None:
+        return self.refuse_tenant(request.tenant, request.limits, view)
+
+    def refuse_tenant(
+        self,
+        tenant: TenantId,
+        limits: CallLimits,
+        view: ClusterView,
+    ) -> Refusal | None:
+        """Refuse a call that may not be served in this region."""
+        config = view.tenant(tenant)
+        if config is None:
             return Refusal(Reason.UNKNOWN_TENANT)
-        if not self._is_home(request.limits.home_regions, tenant):
+        if not self._is_home(limits.home_regions, config):
             return Refusal(Reason.HOME_REGION)
         return None
 
--- a/packages/policy/bilberryrail/policy/deadline_queue.py
+++ b/packages/policy/bilberryrail/policy/deadline_queue.py
@@ -105,6 +105,10 @@
             self.remove(work)
         return expired
 
+    def works(self) -> tuple[Work, ...]:
+        """List the calls that wait, oldest first."""
+        return tuple(self._arrivals)
+
     def clear(self) -> tuple[Work, ...]:
         """Take out all calls."""
         works = tuple(self._arrivals)
--- a/packages/policy/bilberryrail/policy/dispatcher.py
+++ b/packages/policy/bilberryrail/policy/dispatcher.py
@@ -81,6 +81,11 @@
         for work in self.queue.clear():
             self.refuse_work(work, refusal, now)
 
+    def withdraw(self, work: Work, refusal: Refusal, now: Seconds) -> None:
+        """Refuse a call that waits."""
+        self.queue.remove(work)
+        self.refuse_work(work, refusal, now)
+
     def refuse_work(self, work: Work, refusal: Refusal, now: Seconds) -> None:
         """Send the final message to all attempts of undispatched work."""
         self.outbox.drop_body(work.source)
--- a/packages/policy/bilberryrail/policy/target.py
+++ b/packages/policy/bilberryrail/policy/target.py
@@ -13,6 +13,7 @@
     TenantId,
 )
 from bilberryrail.core.load import LoadReport, Outcome, Reason
+from bilberryrail.core.records import ClusterState
 from bilberryrail.policy import actions, events
 from bilberryrail.policy.admission import (
     Gate,
@@ -69,6 +70,7 @@
         self.counters = self.outbox.counters
         self.wakeup_at = Seconds(0)
         self._started = False
+        self._state: ClusterState | None = None
 
     @property
     def idle(self) -> bool:
@@ -120,6 +122,17 @@
         is_out = view.is_zone_out(self.settings.identity.zone)
         backend.zone_seen(now, out=is_out)
         self.reservations.expire(now)
+        if view.state is not self._state:
+            self._state = view.state
+            self._check_waiting(now, view)
+
+    def _check_waiting(self, now: Seconds, view: ClusterView) -> None:
+        """Refuse waiting calls that a new configuration keeps away."""
+        for work in self.dispatcher.queue.works():
+            refusal = self.gate.refuse_tenant(work.tenant, work.limits, view)
+            if refusal is not None:
+                work.logged_tenant = None
+                self.dispatcher.withdraw(work, refusal, now)
 
     def _match_call(
         self,
@@ -188,16 +201,13 @@
     ) -> Refusal:
         """Keep "not run" true for a token that was used before."""
         token = attempt.token
-        if token is None or not self._is_used(token):
+        if token is None:
             return refusal
-        return Refusal(refusal.reason, outcome=Outcome.UNKNOWN)
-
-    def _is_used(self, token: events.Token) -> bool:
         sequence = self.reservations.sequence_of(token)
-        return (
-            sequence in self.dispatcher.table.by_sequence
-            or self.reservations.may_have_run(token)
-        )
+        is_held = sequence in self.dispatcher.table.by_sequence
+        if is_held or self.reservations.may_have_run(token):
+            return Refusal(refusal.reason, outcome=Outcome.UNKNOWN)
+        return refusal
 
     def _use_token(
         self,
--- a/packages/policy/bilberryrail/policy/target_test.py
+++ b/packages/policy/bilberryrail/policy/target_test.py
@@ -71,6 +71,17 @@
     assert driver.role.load(driver.now).limit == 1
 
 
+def test_new_home_regions_apply_to_waiting_calls():
+    """Guards against serving a waiting call outside its home regions."""
+    club = records.TenantConfig('club', home_regions=('darkhan',))
+    driver, dispatches = _full_driver()
+    waiting = driver.attempt()
+    driver.set_state(harness.make_state(tenants=(club,)))
+    driver.answer(dispatches[0])
+    assert driver.refusals() == [(waiting, 'not-run', 'home-region')]
+    assert not driver.of(actions.Dispatch)
+
+
 def test_drain_finishes_running_and_waiting_calls():
     """Guards against a graceful shutdown that interrupts a request."""
     driver, dispatches = _full_driver()
