Test that waiting submissions of one token share their fate

Cause: a fault put in on purpose, which queued each submission of a token on its own, passed all tests, although one could then get "not run" while another still waited to run. Change: a test of its own, and a check in the state machine that a token refused as "not run" runs only for a later submission. Seen: the fault now fails the new test. The state machine does not reach it within its 150 examples. Conclusion: the rule is guarded by the direct test.

--- a/packages/policy/bilberryrail/policy/target_stateful_test.py
+++ b/packages/policy/bilberryrail/policy/target_stateful_test.py
@@ -180,16 +180,20 @@
         self.tokens = []
         self.token_of = {}
         self.may_have_run = Counter()
+        self.refused_up_to = Counter()
 
     def on_dispatch(self, action):
         token = self.token_of[action.attempt]
         self.may_have_run[token] += 1
         assert self.may_have_run[token] == 1
+        # A caller that was told "not run" has to submit the token again.
+        assert action.attempt > self.refused_up_to[token]
 
     def on_final(self, action):
         token = self.token_of.get(action.attempt)
         if getattr(action, 'outcome', None) is Outcome.NOT_RUN:
             assert not self.may_have_run[token]
+            self.refused_up_to[token] = self.driver.attempts
 
     @stateful.precondition(_has_running)
     @stateful.rule(index=_index)
--- a/packages/policy/bilberryrail/policy/target_test.py
+++ b/packages/policy/bilberryrail/policy/target_test.py
@@ -220,6 +220,25 @@
     ]
 
 
+def test_waiting_submissions_of_one_token_share_their_fate():
+    """Guards against "not run" for one while another still waits to run."""
+    driver = harness.Driver(harness.make_state(idempotent=False))
+    for _ in range(harness.LIMITS.slots):
+        driver.attempt(token=driver.token())
+    running = driver.dispatch()
+    token = driver.token()
+    first = driver.attempt(token=token, remaining_s=2)
+    second = driver.attempt(token=token, remaining_s=0.1)
+    driver.now += 0.2
+    driver.handle(Tick())
+    assert not driver.refusals()
+    driver.answer(running)
+    assert driver.of(actions.Dispatch)[0].attempt == first
+    driver.answer(driver.dispatch())
+    answered = [sent.attempt for sent in driver.of(actions.SendAnswer)]
+    assert answered == [first, second]
+
+
 def test_used_token_never_gets_not_run():
     """Guards against "not run" for a token whose call is running."""
     state = harness.make_state(idempotent=False)
