Let the ledger alone own nested calls

Cause: the ingress table and the target's ledger both kept the nested calls of a dispatch, and the engine used one while the target filled the other.

Change: the target hands out nested calls whose dispatch ended; the engine passes them to the ingress. The second table is gone. The engine composes the real target role and its ledger.

--- a/packages/policy/bilberryrail/policy/calls.py
+++ b/packages/policy/bilberryrail/policy/calls.py
@@ -130,24 +130,16 @@
     def __init__(self) -> None:
         self.calls: dict[CallId, Call] = {}
         self.attempts: dict[AttemptId, Attempt] = {}
-        self.nested: dict[DispatchId, set[CallId]] = {}
         self._timers: list[tuple[Seconds, CallId, str]] = []
 
     def add(self, call: Call) -> None:
         """Add a call and its deadline."""
         self.calls[call.call] = call
         self.set_timer(call, TimerKind.DEADLINE, call.deadline_at)
-        if call.parent is not None:
-            self.nested.setdefault(call.parent, set()).add(call.call)
 
     def remove(self, call: Call) -> None:
         """Remove a call; its timers are skipped when they are due."""
         self.calls.pop(call.call)
-        if call.parent is not None:
-            siblings = self.nested[call.parent]
-            siblings.discard(call.call)
-            if not siblings:
-                self.nested.pop(call.parent)
 
     def add_attempt(self, attempt: Attempt) -> None:
         """Add an attempt to its call."""
--- a/packages/policy/bilberryrail/policy/engine.py
+++ b/packages/policy/bilberryrail/policy/engine.py
@@ -12,7 +12,6 @@
 from bilberryrail.core.load import Outcome, Reason
 from bilberryrail.policy import events
 from bilberryrail.policy.actions import (
-    AbortDispatch,
     Action,
     DrainInput,
     DropBody,
@@ -201,12 +200,9 @@
         Nested calls end with the dispatch that encloses them, so that they
         hold no slots for a result that nobody waits for.
         """
-        for action in self.parts.target.handle(event, now, self.view):
-            yield action
-            if isinstance(action, AbortDispatch):
-                yield from self.parts.ingress.cancel_nested(action.dispatch)
-        if isinstance(event, events.BackendFailed):
-            yield from self.parts.ingress.cancel_nested(event.dispatch)
+        yield from self.parts.target.handle(event, now, self.view)
+        nested = self.parts.target.take_cancelled_nested()
+        yield from self.parts.ingress.cancel_nested(nested)
 
     def _unfit(self, now: Seconds) -> Reason | None:
         """Say why this node cannot serve calls, if it cannot."""
--- a/packages/policy/bilberryrail/policy/engine_test.py
+++ b/packages/policy/bilberryrail/policy/engine_test.py
@@ -49,11 +49,15 @@
         self.idle = True
         self.wakeup_at = START + 100
         self.script = ()
+        self.cancelled = ()
 
     def handle(self, event, now, view):
         self.events.append(event)
         return self.script
 
+    def take_cancelled_nested(self):
+        return self.cancelled
+
     def load(self, now):
         return IDLE
 
@@ -162,6 +166,7 @@
     ledger.limits[8] = events.CallLimits(1, 1)
     engine.handle(arrival(parent=8), START)
     engine.parts.target.script = (actions.AbortDispatch(8),)
+    engine.parts.target.cancelled = (1,)
     done = engine.handle(events.CancelReceived('south1', 3), START)
     assert only(done, actions.RejectCall)[0].reason is Reason.CANCELLED
 
--- a/packages/policy/bilberryrail/policy/ingress.py
+++ b/packages/policy/bilberryrail/policy/ingress.py
@@ -1,6 +1,7 @@
 """Ingress role: the life of calls from their arrival to their only end."""
 
 import math
+from collections.abc import Iterable
 from random import Random
 from typing import Final
 
@@ -13,7 +14,7 @@
     LinkUp,
     Tick,
 )
-from bilberryrail.core.ids import AttemptId, NodeId, Seconds
+from bilberryrail.core.ids import AttemptId, CallId, NodeId, Seconds
 from bilberryrail.core.load import LoadReport, Outcome, Reason
 from bilberryrail.policy import events
 from bilberryrail.policy.actions import (
@@ -141,12 +142,13 @@
 
     def cancel_nested(
         self,
-        dispatch: events.DispatchId,
+        nested: Iterable[CallId],
     ) -> tuple[Action, ...]:
-        """End the nested calls of a dispatch that was given up."""
-        for call_id in tuple(self.table.nested.get(dispatch, ())):
-            call = self.table.calls[call_id]
-            self.life.give_up(call, Reason.CANCELLED)
+        """End nested calls whose enclosing dispatch has ended."""
+        for call_id in nested:
+            call = self.table.calls.get(call_id)
+            if call is not None:
+                self.life.give_up(call, Reason.CANCELLED)
         return self._take_actions()
 
     def resumed(self, now: Seconds) -> None:
--- a/packages/policy/bilberryrail/policy/ingress_test.py
+++ b/packages/policy/bilberryrail/policy/ingress_test.py
@@ -151,7 +151,7 @@
     assert limits.remaining_s == pytest.approx(0.2)
     assert limits.home_regions == ('south',)
     assert limits.retry_budget + rig.ledger.limits[0].retry_budget == 2
-    rig.seen.extend(rig.role.cancel_nested(0))
+    rig.seen.extend(rig.role.cancel_nested((1,)))
     rig.ended(Outcome.UNKNOWN, Reason.CANCELLED)
     assert not rig.ledger.attached
     assert rig.of_type(actions.SendCancel)
--- a/packages/policy/bilberryrail/policy/parts.py
+++ b/packages/policy/bilberryrail/policy/parts.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from bilberryrail.control.messages import ControlAction, ControlEvent
-from bilberryrail.core.ids import Incarnation, NodeId, Seconds
+from bilberryrail.core.ids import CallId, Incarnation, NodeId, Seconds
 from bilberryrail.core.load import LoadReport
 from bilberryrail.core.records import ClusterState, Member
 from bilberryrail.policy.actions import Action
@@ -63,6 +63,9 @@
     def load(self, now: Seconds) -> LoadReport:
         """Report the load now."""
 
+    def take_cancelled_nested(self) -> tuple[CallId, ...]:
+        """Return nested calls whose dispatch has ended, once."""
+
 
 @dataclass(frozen=True, slots=True)
 class EngineParts:
@@ -83,7 +86,7 @@
     plane = import_module('bilberryrail.control.plane')
     ledger = import_module('bilberryrail.policy.ledger').Ledger()
     target = import_module('bilberryrail.policy.target')
-    reservations = import_module('bilberryrail.policy.reservations')
+    tokens = import_module('bilberryrail.policy.tokens')
     return EngineParts(
         plane=plane.ControlPlane(
             settings.relay,
@@ -91,11 +94,11 @@
             incarnation,
             random,
         ),
-        target=target.TargetRole(settings, incarnation, random, ledger),
+        target=target.TargetRole(settings, ledger, random, incarnation),
         ingress=IngressRole(
             settings,
             random,
             ledger,
-            reservations.token_target,
+            tokens.token_target,
         ),
     )
