Start measured runs with the cold-start ramp

Cause: nodes treat every backend server as cold at start, so the first 10 s of a run measured the ramp. Change: runs begin with 12 s of light load; engine exposes its incarnation.

--- a/packages/bench/bilberryrail/bench/scenarios.py
+++ b/packages/bench/bilberryrail/bench/scenarios.py
@@ -10,12 +10,15 @@
 
 Backends = dict[NodeId, FakeBackend]
 
+#: Nodes start their backend servers on the cold-start ramp of 10 s, so every
+#: run begins with a light load.
+RAMP = Phase(12.0, 0.1)
 #: Calls that arrive before this time are served but not counted.
-WARM_UP_S = 2.0
+WARM_UP_S = 13.0
 #: Time at which faults begin.
-FAULT_S = 4.0
+FAULT_S = 15.0
 #: Time at which an availability zone that left returns.
-RETURN_S = 8.0
+RETURN_S = 19.0
 #: Service times of the slowed backend server are multiplied by this.
 SLOW_FACTOR = 10.0
 
@@ -74,24 +77,24 @@
 
 
 def _steady(load: float) -> Scenario:
-    return Scenario(f'load {load:.0%}', (Phase(6.0, load),))
+    return Scenario(f'load {load:.0%}', (RAMP, Phase(17.0, load)))
 
 
 def _with_fault(name: str, fault: Fault) -> Scenario:
-    return Scenario(name, (Phase(8.0, 0.8),), ((FAULT_S, fault),))
+    return Scenario(name, (RAMP, Phase(19.0, 0.8)), ((FAULT_S, fault),))
 
 
 SCENARIOS = (
     _steady(0.5),
     _steady(0.8),
     _steady(0.95),
-    Scenario('burst 150%', (Phase(3.0, 0.8), Phase(6.0, 1.5))),
+    Scenario('burst 150%', (RAMP, Phase(13.0, 0.8), Phase(16.0, 1.5))),
     _with_fault('slow server, load 80%', _slow),
     _with_fault('fail-fast server, load 80%', _fail_fast),
     _with_fault('cold server, load 80%', _turn_cold),
     Scenario(
         'zone leaves and returns, load 50%',
-        (Phase(14.0, 0.5),),
+        (RAMP, Phase(25.0, 0.5)),
         ((FAULT_S, _zone_out), (RETURN_S, _zone_in)),
     ),
 )
--- a/packages/policy/bilberryrail/policy/engine.py
+++ b/packages/policy/bilberryrail/policy/engine.py
@@ -39,6 +39,10 @@
 
     Attributes
     ----------
+    incarnation
+        This run of the node, as tokens and announcements name it.
+    plane
+        Control plane, for the operators' endpoint.
     view
         Configuration and membership that calls are decided on.
     """
@@ -51,6 +55,9 @@
     ) -> None:
         self.settings = settings
         self.parts = parts or default_parts(settings, random)
+        self.identity = settings.identity
+        self.incarnation = self.parts.incarnation
+        self.plane = self.parts.plane
         self.guard = PauseGuard(settings.pause)
         self.holding = HoldingArea()
         self.view = self._make_view()
--- a/packages/policy/bilberryrail/policy/engine_test.py
+++ b/packages/policy/bilberryrail/policy/engine_test.py
@@ -65,7 +65,7 @@
 def make_engine():
     ledger = FakeLedger()
     ingress = IngressRole(SETTINGS, Random(1), ledger, Ok)
-    parts = EngineParts(FakePlane(), FakeTarget(), ingress)
+    parts = EngineParts(7, FakePlane(), FakeTarget(), ingress)
     engine = NodeEngine(SETTINGS, Random(1), parts)
     engine.handle(messages.Tick(), START)
     return engine
--- a/packages/policy/bilberryrail/policy/parts.py
+++ b/packages/policy/bilberryrail/policy/parts.py
@@ -71,6 +71,7 @@
 class EngineParts:
     """Control plane and both roles of a node."""
 
+    incarnation: Incarnation
     plane: Plane
     target: Target
     ingress: IngressRole
@@ -88,6 +89,7 @@
     target = import_module('bilberryrail.policy.target')
     tokens = import_module('bilberryrail.policy.tokens')
     return EngineParts(
+        incarnation=incarnation,
         plane=plane.ControlPlane(
             settings.relay,
             settings.identity,
