Add the control plane of a node

Cause: nothing followed the log, placed a node in the relay tree, kept it announced or reported applied offsets.

Earlier trials found two faults, fixed here: an unlogged announcement outlived its node's next incarnation, and a reader without a link to the other region had no summary of it.

--- /dev/null
+++ b/packages/control/bilberryrail/control/announcer.py
@@ -0,0 +1,131 @@
+"""Announcement of this node in the log."""
+
+from collections.abc import Iterable, Iterator
+from typing import Final
+
+from bilberryrail.control.directory import HASH_BITS, hash_of
+from bilberryrail.control.messages import ControlAction, LogEvent
+from bilberryrail.control.outbox import Outbox
+from bilberryrail.control.settings import RelaySettings
+from bilberryrail.core.ids import NO_OFFSET, Offset, RecordId, Seconds
+from bilberryrail.core.records import ClusterState, Join, Leave, Member
+
+#: Number of values of ``hash_of``.
+_HASH_RANGE: Final = 1 << HASH_BITS
+
+
+class Announcer:
+    """Appends Join, refreshes and Leave of this node.
+
+    Attributes
+    ----------
+    own
+        The member that is announced.
+    draining
+        Whether the node takes no new work and leaves.
+    superseded
+        Whether another incarnation of this node has joined after it.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        own: Member,
+        outbox: Outbox,
+    ) -> None:
+        self.settings = settings
+        self.own = own
+        self.outbox = outbox
+        self.draining = False
+        self.superseded = False
+        self._record_id: RecordId | None = None
+        self._stored_at = NO_OFFSET
+        self._joined = False
+        self._refresh_at = Seconds(float('inf'))
+
+    def check(
+        self,
+        state: ClusterState,
+        now: Seconds,
+    ) -> Iterator[ControlAction]:
+        """Append what the state lacks; call it once caught up."""
+        if self._is_under_way(state):
+            return
+        is_member = self.is_member(state)
+        if self.draining:
+            if is_member:
+                yield self._append_leave(now)
+        elif is_member:
+            yield from self._refresh(now)
+        elif not self._is_superseded(state):
+            name = 'announced_again' if self._joined else 'joined'
+            yield LogEvent(name, {'node': self.own.node})
+            yield self._append_join(now)
+
+    def drain(self, now: Seconds) -> Iterator[ControlAction]:
+        """Withdraw the announcement; a Join under way is not repeated."""
+        if self.draining:
+            return
+        self.draining = True
+        if self._record_id is not None:
+            self.outbox.settle(self._record_id)
+        yield LogEvent('leaving', {'node': self.own.node})
+        yield self._append_leave(now)
+
+    def contradict(self, members: Iterable[Member], now: Seconds) -> None:
+        """Refresh at once if an older incarnation of this node is announced.
+
+        The refresh settles that announcement at every node.
+        """
+        for member in members:
+            is_old = member.incarnation != self.own.incarnation
+            if member.node == self.own.node and is_old and self._joined:
+                self._refresh_at = now
+
+    def acknowledge(self, record_id: RecordId, offset: Offset) -> None:
+        """Note that the log holds a record of this node."""
+        if record_id == self._record_id:
+            self._stored_at = offset
+
+    def is_unlogged(self, record_id: RecordId, state: ClusterState) -> bool:
+        """Tell whether a record announces this node for the first time."""
+        return (
+            record_id == self._record_id
+            and not self.draining
+            and not self.is_member(state)
+        )
+
+    def is_member(self, state: ClusterState) -> bool:
+        """Tell whether the replayed state holds this incarnation."""
+        announcement = state.members.get(self.own.node)
+        if announcement is None:
+            return False
+        return announcement.member.incarnation == self.own.incarnation
+
+    def _is_under_way(self, state: ClusterState) -> bool:
+        if self._record_id in self.outbox.pending:
+            return True
+        return state.offset < self._stored_at
+
+    def _is_superseded(self, state: ClusterState) -> bool:
+        self.superseded = self._joined and self.own.node in state.members
+        return self.superseded
+
+    def _refresh(self, now: Seconds) -> Iterator[ControlAction]:
+        interval = self.settings.refresh_interval_s
+        if not self._joined:
+            self._joined = True
+            phase = hash_of(self.own.node) / _HASH_RANGE
+            self._refresh_at = Seconds(now + interval * phase)
+        elif now >= self._refresh_at:
+            self._refresh_at = Seconds(now + interval)
+            yield self._append_join(now)
+
+    def _append_join(self, now: Seconds) -> ControlAction:
+        self._record_id = self.outbox.new_id()
+        return self.outbox.append(Join(self._record_id, self.own), now)
+
+    def _append_leave(self, now: Seconds) -> ControlAction:
+        self._record_id = self.outbox.new_id()
+        leave = Leave(self._record_id, self.own.node, self.own.incarnation)
+        return self.outbox.append(leave, now)
--- /dev/null
+++ b/packages/control/bilberryrail/control/intake.py
@@ -0,0 +1,128 @@
+"""Records and states that reach this node, from wherever they come."""
+
+from collections.abc import Iterator
+
+from bilberryrail.control import messages, snapshots
+from bilberryrail.control.parts import Parts
+from bilberryrail.control.snapshot import make_parts
+from bilberryrail.core.ids import NodeId, Offset, Seconds
+from bilberryrail.core.records import (
+    ClusterState,
+    Evict,
+    Join,
+    Leave,
+    LogEntry,
+    Member,
+)
+
+
+class Intake:
+    """Applies records, passes them on and draws conclusions from them."""
+
+    def __init__(self, parts: Parts) -> None:
+        self.parts = parts
+        self.replica = parts.replica
+
+    def hear_records(
+        self,
+        event: messages.RecordsReceived,
+        now: Seconds,
+    ) -> Iterator[messages.ControlAction]:
+        """Handle records of a source, or of a child that is ahead."""
+        sources = self.parts.sources
+        sources.hear(event.peer, now)
+        yield from self.apply(event.entries, now)
+        is_source = sources.is_source(event.peer)
+        # A child that only passes announcements on may not have caught up.
+        if is_source or event.entries:
+            self.replica.note_current(event.current, now)
+        if is_source and not event.entries:
+            yield from self.parts.relay.pass_up(event.peer, event.current)
+        yield from self.spread(event.unlogged, event.peer, now)
+
+    def apply(
+        self,
+        entries: tuple[LogEntry, ...],
+        now: Seconds,
+    ) -> Iterator[messages.ControlAction]:
+        """Apply the entries that follow the state."""
+        before = self.replica.state.offset
+        applied = self.replica.apply(entries)
+        if not applied:
+            return
+        self.parts.relay.recent.add(applied)
+        self.parts.membership.observe(self.replica.state, applied)
+        for entry in applied:
+            self._note_applied(entry)
+        yield from self.parts.relay.push(now)
+        if self._appends_snapshot(before):
+            yield from self._append_snapshot(now)
+
+    def adopt(
+        self,
+        state: ClusterState,
+        now: Seconds,
+    ) -> Iterator[messages.ControlAction]:
+        """Take the state of a peer if it is newer."""
+        if self.replica.adopt(state):
+            yield messages.LogEvent('state_adopted', {'offset': state.offset})
+            yield from self.take_over(now)
+
+    def take_over(self, now: Seconds) -> Iterator[messages.ControlAction]:
+        """Bring the other parts in line with a state not replayed here."""
+        self.parts.relay.recent.entries.clear()
+        self.parts.membership.reset(self.replica.state)
+        if self.parts.evictions.active:
+            self.parts.evictions.start(self.replica.state)
+        yield from self.parts.relay.push(now)
+
+    def spread(
+        self,
+        members: tuple[Member, ...],
+        origin: NodeId,
+        now: Seconds,
+    ) -> Iterator[messages.ControlAction]:
+        """Take unlogged announcements and pass on those that were new."""
+        added = self.parts.membership.add_unlogged(members, now)
+        if not added:
+            return
+        self.parts.announcer.contradict(added, now)
+        for member in added:
+            yield messages.LogEvent(
+                'unlogged_announcement', {'node': member.node}
+            )
+        sources = self.parts.sources
+        neighbours = {*self.parts.relay.subscribers, *sources.links}
+        reachable = neighbours & sources.up.keys() - {origin}
+        yield from self.parts.relay.announce(sorted(reachable), added)
+
+    def _note_applied(self, entry: LogEntry) -> None:
+        record = entry.record
+        if record.record_id in self.parts.outbox.pending:
+            self.parts.outbox.settle(record.record_id)
+            self.parts.announcer.acknowledge(record.record_id, entry.offset)
+        match record:
+            case Join(member=Member(node=node)):
+                self.parts.evictions.observe(node, self.replica.state)
+            case Leave(node=node) | Evict(node=node):
+                self.parts.evictions.observe(node, self.replica.state)
+
+    def _appends_snapshot(self, before: Offset) -> bool:
+        if not (self.parts.placement.is_reader and self.replica.caught_up):
+            return False
+        after = self.replica.state.offset
+        return snapshots.is_chosen(self.parts.directory, before, after)
+
+    def _append_snapshot(
+        self, now: Seconds
+    ) -> Iterator[messages.ControlAction]:
+        state = self.replica.state
+        outbox = self.parts.outbox
+        part_bytes = self.parts.settings.snapshot_part_bytes
+        parts = make_parts(state, part_bytes, outbox.new_id())
+        for part in parts:
+            yield outbox.append(part, now)
+        yield messages.LogEvent(
+            'snapshot_appended',
+            {'offset': state.offset, 'parts': len(parts)},
+        )
--- /dev/null
+++ b/packages/control/bilberryrail/control/links.py
@@ -0,0 +1,55 @@
+"""Links to other nodes, and what is said when one opens."""
+
+from collections.abc import Iterator
+
+from bilberryrail.control.messages import ControlAction, SendDraining
+from bilberryrail.control.parts import Parts
+from bilberryrail.core.ids import NodeId, Seconds
+from bilberryrail.core.records import Member
+
+
+class Links:
+    """Greets neighbours, subscribes to sources and forgets lost peers."""
+
+    def __init__(self, parts: Parts) -> None:
+        self.parts = parts
+        self._greeted: set[NodeId] = set()
+
+    def open(self, member: Member) -> Iterator[ControlAction]:
+        """Note that a link is open, whoever opened it."""
+        self.parts.sources.link_up(member)
+        self.parts.membership.greet(member)
+        if self.parts.announcer.draining:
+            yield SendDraining(member.node)
+
+    def lose(self, peer: NodeId, now: Seconds) -> None:
+        """Note that a link broke."""
+        self.parts.sources.link_down(peer, now)
+        self.parts.relay.drop(peer)
+        self.parts.board.drop(peer)
+        self._greeted.discard(peer)
+
+    def drain(self, now: Seconds) -> Iterator[ControlAction]:
+        """Leave, and tell every neighbour at once."""
+        own = self.parts.own
+        self.parts.membership.mark_leaving(own.node, own.incarnation)
+        yield from self.parts.announcer.drain(now)
+        for peer in self.parts.sources.up:
+            yield SendDraining(peer)
+
+    def subscribe(self, now: Seconds) -> Iterator[ControlAction]:
+        """Subscribe where needed; new sources get unlogged announcements."""
+        sources = self.parts.sources
+        replica = self.parts.replica
+        if not replica.caught_up or not self.parts.log.available:
+            yield from sources.open_seeds(now)
+        for action in sources.subscribe(replica.state.offset, now):
+            yield action
+            yield from self._greet(action.peer)
+
+    def _greet(self, peer: NodeId) -> Iterator[ControlAction]:
+        if peer in self._greeted or not self.parts.replica.caught_up:
+            return
+        self._greeted.add(peer)
+        unlogged = tuple(self.parts.membership.unlogged.values())
+        yield from self.parts.relay.announce((peer,), unlogged)
--- /dev/null
+++ b/packages/control/bilberryrail/control/log_reader.py
@@ -0,0 +1,61 @@
+"""Reads from the log, one at a time."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from bilberryrail.control.messages import ReadLog
+from bilberryrail.control.settings import RelaySettings
+from bilberryrail.core.ids import Offset, Seconds
+
+#: A node that is not among the first of its region waits this many times
+#: longer, so that a whole region without parents does not flood the log.
+STAND_IN_FACTOR: Final = 8
+
+_NEVER: Final = Seconds(float('inf'))
+
+
+class LogReader:
+    """Keeps one read outstanding while this node reads the log.
+
+    Attributes
+    ----------
+    available
+        Whether the log answered when it was last asked.
+    """
+
+    def __init__(self, settings: RelaySettings) -> None:
+        self.settings = settings
+        self.available = True
+        self.outstanding = False
+        self.retry_at = Seconds(float('-inf'))
+
+    @property
+    def wakeup_at(self) -> Seconds:
+        """Time of the next try after a failed read."""
+        return _NEVER if self.outstanding else self.retry_at
+
+    def read(
+        self, start: Offset, wait: bool, now: Seconds
+    ) -> Iterator[ReadLog]:
+        """Start a read unless one is outstanding or the log is away."""
+        if not self.outstanding and now >= self.retry_at:
+            self.outstanding = True
+            yield ReadLog(start=start, wait=wait and self.available)
+
+    def answered(self) -> None:
+        """Note an answer of the log."""
+        self.outstanding = False
+        self.available = True
+        self.retry_at = Seconds(float('-inf'))
+
+    def pause(self, now: Seconds) -> None:
+        """Read on later, because the log lacks what is needed."""
+        wait_s = self.settings.log_retry_s * STAND_IN_FACTOR
+        self.retry_at = Seconds(now + wait_s)
+
+    def failed(self, is_stand_in: bool, now: Seconds) -> None:
+        """Note that the log did not answer a read."""
+        self.outstanding = False
+        self.available = False
+        factor = STAND_IN_FACTOR if is_stand_in else 1
+        self.retry_at = Seconds(now + self.settings.log_retry_s * factor)
--- /dev/null
+++ b/packages/control/bilberryrail/control/placement.py
@@ -0,0 +1,118 @@
+"""Place of this node in the relay: reader or child, sources and links."""
+
+from collections.abc import Iterator
+
+from bilberryrail.control.directory import Directory
+from bilberryrail.control.membership import Membership
+from bilberryrail.control.messages import ControlAction, LogEvent
+from bilberryrail.control.replica import Replica
+from bilberryrail.control.sources import MAX_SOURCES, Sources
+from bilberryrail.core.ids import Seconds
+from bilberryrail.core.records import Member
+
+
+class Placement:
+    """Decides again whenever members, suspicions or the log change.
+
+    Attributes
+    ----------
+    is_reader
+        Whether this node is among the first of its region.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        sources: Sources,
+        replica: Replica,
+    ) -> None:
+        self.directory: Directory = membership.directory
+        self.membership = membership
+        self.sources = sources
+        self.replica = replica
+        self.is_reader = False
+        self._exclusion: object = None
+        self._basis: object = None
+
+    @property
+    def is_stand_in(self) -> bool:
+        """Whether members before this node would read, if they answered."""
+        settings = self.directory.settings
+        return self.directory.rank() >= settings.readers_per_region
+
+    def update(
+        self,
+        log_available: bool,
+        now: Seconds,
+    ) -> Iterator[ControlAction]:
+        """Take the place that follows from what is known now."""
+        self._exclude()
+        contacts = () if self.replica.caught_up else self.sources.contacts()
+        basis = (
+            self.directory.version,
+            log_available,
+            self.replica.lacks_state,
+            self.replica.caught_up,
+            contacts,
+        )
+        if basis == self._basis:
+            return
+        self._basis = basis
+        yield from self._update_role()
+        wanted = self._sources(log_available, contacts)
+        yield from self.sources.choose(wanted, self._links(), now)
+
+    def _exclude(self) -> None:
+        exclusion = (self.membership.version, tuple(self.sources.suspects))
+        if exclusion != self._exclusion:
+            self._exclusion = exclusion
+            suspects = frozenset(self.sources.suspects)
+            self.directory.exclude(suspects | self.membership.leaving)
+
+    def _update_role(self) -> Iterator[ControlAction]:
+        position = self.directory.position()
+        is_first = position < self.directory.settings.readers_per_region
+        # Before it has caught up, a node does not know its position.
+        is_reader = is_first and self.replica.caught_up
+        if is_reader != self.is_reader:
+            self.is_reader = is_reader
+            name = 'became_reader' if is_reader else 'stopped_reading'
+            yield LogEvent(name, {'position': position})
+
+    def _sources(
+        self,
+        log_available: bool,
+        contacts: tuple[Member, ...],
+    ) -> tuple[Member, ...]:
+        if self.replica.lacks_state:
+            return _distinct((*self._other_readers(), *contacts))
+        if not self.is_reader:
+            return self.directory.parents() or contacts
+        if log_available:
+            return ()
+        earlier = self.directory.earlier_readers()
+        return (*earlier[-MAX_SOURCES:], *self._partners())
+
+    def _links(self) -> tuple[Member, ...]:
+        if not self.is_reader:
+            return ()
+        return (*self.directory.earlier_readers(), *self._partners())
+
+    def _partners(self) -> tuple[Member, ...]:
+        """List one reader of each other region, at the same position."""
+        found = []
+        for region in self.directory.other_regions():
+            readers = self.directory.readers(region)
+            if readers:
+                found.append(readers[self.directory.position() % len(readers)])
+        return tuple(found)
+
+    def _other_readers(self) -> tuple[Member, ...]:
+        own = self.directory.identity
+        readers = self.directory.readers(own.region)
+        found = tuple(member for member in readers if member.node != own.node)
+        return (*found, *self._partners())
+
+
+def _distinct(members: tuple[Member, ...]) -> tuple[Member, ...]:
+    return tuple({member.node: member for member in members}.values())
--- /dev/null
+++ b/packages/control/bilberryrail/control/replica.py
@@ -0,0 +1,134 @@
+"""Copy of the cluster state on this node, and how it follows the log."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from bilberryrail.control.replay import replay
+from bilberryrail.control.snapshot import newest_state
+from bilberryrail.core.ids import NO_OFFSET, Offset, Seconds
+from bilberryrail.core.records import ClusterState, LogEntry, SnapshotPart
+
+#: Entries kept that arrived before their predecessors.
+MAX_AHEAD: Final = 1024
+#: Entries kept while a snapshot is searched in the log.
+MAX_COLLECTED: Final = 50000
+
+
+class Replica:
+    """Applies each offset once and never moves backwards.
+
+    Attributes
+    ----------
+    current
+        Newest offset that the log or a source stated.
+    current_at
+        When the log or a source last stated a current offset.
+    caught_up
+        Whether the state has reached an offset stated after start.
+    lacks_state
+        Whether the log no longer holds what follows the state.
+    collected
+        Entries read while a snapshot is searched in the log.
+    """
+
+    def __init__(self) -> None:
+        self.state = ClusterState()
+        self.current = NO_OFFSET
+        self.current_at = Seconds(float('-inf'))
+        self.caught_up = False
+        self.lacks_state = False
+        self.collected: list[LogEntry] | None = None
+        self._search_from = Offset(0)
+        self._stated = False
+        self._ahead: dict[Offset, LogEntry] = {}
+
+    @property
+    def next_read(self) -> Offset:
+        """Offset from which the log is to be read."""
+        if self.collected is None:
+            return Offset(self.state.offset + 1)
+        if self.collected:
+            return Offset(self.collected[-1].offset + 1)
+        return self._search_from
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether newer offsets are known to exist."""
+        return bool(self._ahead) or self.current > self.state.offset
+
+    def note_current(self, current: Offset, now: Seconds) -> None:
+        """Take the newest offset that the log or a source stated."""
+        self.current = max(self.current, current)
+        self.current_at = now
+        self._stated = True
+        self._check()
+
+    def apply(self, entries: Iterable[LogEntry]) -> tuple[LogEntry, ...]:
+        """Apply entries that follow the state, and return those."""
+        ready: list[LogEntry] = []
+        following = Offset(self.state.offset + 1)
+        for entry in entries:
+            if entry.offset == following:
+                ready.append(entry)
+                following = Offset(following + 1)
+            elif entry.offset > following and len(self._ahead) < MAX_AHEAD:
+                self._ahead[entry.offset] = entry
+        while following in self._ahead:
+            ready.append(self._ahead.pop(following))
+            following = Offset(following + 1)
+        if ready:
+            self.state = replay(self.state, ready)[0]
+            self._forget_applied()
+            self._check()
+        return tuple(ready)
+
+    def adopt(self, state: ClusterState) -> bool:
+        """Take a whole state if it is newer."""
+        if state.offset <= self.state.offset:
+            return False
+        self.state = state
+        self.collected = None
+        self.lacks_state = False
+        self._forget_applied()
+        self._check()
+        return True
+
+    def start_search(self, first: Offset) -> None:
+        """Search the log from its oldest entry, because records expired."""
+        self.collected = []
+        self._search_from = first
+
+    def stop_search(self) -> None:
+        """Give up the search; a peer has to send its state."""
+        self.collected = None
+        self.lacks_state = True
+
+    def search(
+        self,
+        entries: tuple[LogEntry, ...],
+    ) -> tuple[LogEntry, ...] | None:
+        """Look for a snapshot among the entries read so far, and adopt it.
+
+        Returns
+        -------
+        The entries to apply after it, or None if there is no snapshot yet.
+        """
+        collected = [*(self.collected or ()), *entries][-MAX_COLLECTED:]
+        self.collected = collected
+        if not any(isinstance(entry.record, SnapshotPart) for entry in entries):
+            return None
+        state = newest_state(collected)
+        if state is None or not self.adopt(state):
+            return None
+        return tuple(collected)
+
+    def _forget_applied(self) -> None:
+        self._ahead = {
+            offset: entry
+            for offset, entry in self._ahead.items()
+            if offset > self.state.offset
+        }
+
+    def _check(self) -> None:
+        if self._stated and self.state.offset >= self.current:
+            self.caught_up = True
--- /dev/null
+++ b/packages/control/bilberryrail/control/sources.py
@@ -0,0 +1,176 @@
+"""Where this node gets records from when it does not read the log."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from bilberryrail.control.directory import Directory
+from bilberryrail.control.messages import (
+    CloseLink,
+    ControlAction,
+    LogEvent,
+    OpenLink,
+    OpenSeedLink,
+    SendSubscribe,
+)
+from bilberryrail.control.relay import RENEWAL_INTERVALS
+from bilberryrail.control.settings import RelaySettings
+from bilberryrail.core.ids import NodeId, Offset, Seconds
+from bilberryrail.core.records import Member
+
+#: Heartbeats missed after which a source counts as silent.
+MISSED_HEARTBEATS: Final = 3
+#: Time for which a node that does not answer has no position, in seconds.
+SUSPECT_S: Final = 30.0
+#: Time between two tries to reach the seeds, in seconds.
+SEED_RETRY_S: Final = 5.0
+#: Sources used at the same time; a record is lost only if both fail.
+MAX_SOURCES: Final = 2
+
+
+class Sources:
+    """Chooses sources, keeps links to them and notices silent ones.
+
+    Attributes
+    ----------
+    up
+        Nodes with an open link, whoever opened it.
+    heard
+        When each chosen source was last heard, or was chosen.
+    links
+        Nodes to which this node needs a link.
+    suspects
+        Nodes that do not answer, and until when they have no position.
+    """
+
+    def __init__(self, settings: RelaySettings, directory: Directory) -> None:
+        self.settings = settings
+        self.directory = directory
+        self.up: dict[NodeId, Member] = {}
+        self.heard: dict[NodeId, Seconds] = {}
+        self.links: dict[NodeId, Member] = {}
+        self.suspects: dict[NodeId, Seconds] = {}
+        self._opened: dict[NodeId, Member] = {}
+        self._subscribed: dict[NodeId, Seconds] = {}
+        self._seeds_at = Seconds(float('-inf'))
+        self._checked_at = Seconds(float('-inf'))
+
+    @property
+    def first(self) -> NodeId | None:
+        """The first source with an open link."""
+        return next((peer for peer in self.heard if peer in self.up), None)
+
+    def open_seeds(self, now: Seconds) -> Iterator[ControlAction]:
+        """Contact the seeds, because no node can be reached."""
+        if self.up or now < self._seeds_at + SEED_RETRY_S:
+            return
+        self._seeds_at = now
+        for seed in self.settings.seeds:
+            yield OpenSeedLink(seed.host, seed.port)
+
+    def link_up(self, member: Member) -> None:
+        """Note an open link."""
+        self.up[member.node] = member
+        self.suspects.pop(member.node, None)
+        if any(
+            _is_at(member, seed.host, seed.port) for seed in self.settings.seeds
+        ):
+            self._opened.setdefault(member.node, member)
+
+    def link_down(self, peer: NodeId, now: Seconds) -> None:
+        """Note a broken link; the peer has no position for a while."""
+        self.up.pop(peer, None)
+        self._subscribed.pop(peer, None)
+        if peer in self.links:
+            self.suspects[peer] = Seconds(now + SUSPECT_S)
+
+    def hear(self, peer: NodeId, now: Seconds) -> None:
+        """Note a message from a source."""
+        if self.is_source(peer):
+            self.heard[peer] = now
+
+    def is_source(self, peer: NodeId) -> bool:
+        """Tell whether this node gets records from a peer."""
+        return peer in self.heard
+
+    def is_answering(self, now: Seconds) -> bool:
+        """Tell whether some source is not silent."""
+        return any(self._is_recent(at, now) for at in self.heard.values())
+
+    def suspect_silent(self, now: Seconds) -> None:
+        """Suspect silent sources and forgive old suspicions.
+
+        After a pause of this process nothing is known about the sources.
+        """
+        paused = not self._is_recent(self._checked_at, now)
+        self._checked_at = now
+        for peer, at in tuple(self.heard.items()):
+            if paused:
+                self.heard[peer] = now
+            elif not self._is_recent(at, now):
+                self.suspects[peer] = Seconds(now + SUSPECT_S)
+        for peer, until in tuple(self.suspects.items()):
+            if until <= now:
+                self.suspects.pop(peer)
+
+    def choose(
+        self,
+        sources: tuple[Member, ...],
+        links: tuple[Member, ...],
+        now: Seconds,
+    ) -> Iterator[ControlAction]:
+        """Use these sources, with links to them and to ``links``."""
+        nodes = tuple(source.node for source in sources)
+        if nodes != tuple(self.heard):
+            self.heard = {node: self.heard.get(node, now) for node in nodes}
+            yield LogEvent('parents_chosen', {'parents': ','.join(nodes)})
+        self.links = {member.node: member for member in (*sources, *links)}
+        yield from self._close_links()
+        yield from self._open_links()
+
+    def subscribe(
+        self,
+        applied: Offset,
+        now: Seconds,
+    ) -> Iterator[SendSubscribe]:
+        """Subscribe to sources whose link is open, and renew."""
+        renewal_s = self.settings.status_interval_s * RENEWAL_INTERVALS
+        for peer in tuple(self._subscribed):
+            if peer not in self.heard:
+                self._subscribed.pop(peer)
+        for peer in self.heard:
+            since = self._subscribed.get(peer)
+            is_due = since is None or now - since >= renewal_s
+            if is_due and peer in self.up:
+                self._subscribed[peer] = now
+                yield SendSubscribe(peer, applied)
+
+    def subscribe_again(self) -> None:
+        """Ask all sources once more for the records that are missing."""
+        self._subscribed.clear()
+
+    def contacts(self) -> tuple[Member, ...]:
+        """List nodes to start from while no parent is known."""
+        nodes = sorted(self.up.keys() - self.suspects.keys())
+        return tuple(self.up[node] for node in nodes[:MAX_SOURCES])
+
+    def _is_recent(self, at: Seconds, now: Seconds) -> bool:
+        limit = self.settings.status_interval_s * MISSED_HEARTBEATS
+        return now - at <= limit
+
+    def _close_links(self) -> Iterator[ControlAction]:
+        for node, member in tuple(self._opened.items()):
+            wanted = self.links.get(node)
+            if wanted and _is_at(wanted, member.host, member.port):
+                continue
+            self._opened.pop(node)
+            yield CloseLink(node)
+
+    def _open_links(self) -> Iterator[ControlAction]:
+        for node, member in self.links.items():
+            if node not in self._opened:
+                self._opened[node] = member
+                yield OpenLink(node, member.host, member.port)
+
+
+def _is_at(member: Member, host: str, port: int) -> bool:
+    return (member.host, member.port) == (host, port)
--- /dev/null
+++ b/packages/control/bilberryrail/control/status.py
@@ -0,0 +1,176 @@
+"""Applied offsets of subtrees, regions and the whole system."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+from bilberryrail.control.messages import StatusReport, ZoneStatus
+from bilberryrail.control.settings import NodeIdentity, RelaySettings
+from bilberryrail.core.ids import (
+    AvailabilityZoneId,
+    NodeId,
+    Offset,
+    RegionId,
+    Seconds,
+)
+
+#: Reports missed after which a child no longer counts; it may have moved to
+#: another parent and must not be counted twice.
+MISSED_REPORTS: Final = 3
+
+
+@dataclass(frozen=True, slots=True)
+class _Received:
+    """A report and when it was received."""
+
+    report: StatusReport
+    at: Seconds
+
+    def aged(self, now: Seconds) -> StatusReport:
+        """Add the time since it was received to all ages."""
+        waited = now - self.at
+        return {
+            zone: replace(status, age_s=status.age_s + waited)
+            for zone, status in self.report.items()
+        }
+
+
+@dataclass(slots=True)
+class StatusBoard:
+    """Reports received, and the summaries made of them.
+
+    Attributes
+    ----------
+    children
+        Reports of subtrees, by child.
+    siblings
+        Reports of subtrees from the other readers of the region.
+    known
+        Newest summary of each availability zone; kept although no one
+        reports it any more, so that a region not heard from stays listed.
+    """
+
+    settings: RelaySettings
+    identity: NodeIdentity
+    children: dict[NodeId, _Received] = field(default_factory=dict)
+    siblings: dict[NodeId, _Received] = field(default_factory=dict)
+    known: dict[AvailabilityZoneId, _Received] = field(default_factory=dict)
+
+    def take_child(
+        self,
+        peer: NodeId,
+        report: StatusReport,
+        now: Seconds,
+    ) -> None:
+        """Take the report of a child."""
+        self.children[peer] = _Received(report, now)
+
+    def take_sibling(
+        self,
+        peer: NodeId,
+        report: StatusReport,
+        now: Seconds,
+    ) -> None:
+        """Take the report of another reader of the region."""
+        self.siblings[peer] = _Received(report, now)
+
+    def take_summary(self, report: StatusReport, now: Seconds) -> None:
+        """Take summaries of whole availability zones, where newer."""
+        for zone, status in report.items():
+            known = self.known.get(zone)
+            if known is None or known.aged(now)[zone].age_s >= status.age_s:
+                self.known[zone] = _Received({zone: status}, now)
+
+    def set_summary(self, report: StatusReport, now: Seconds) -> None:
+        """Replace summaries by those that this reader made itself."""
+        for zone, status in report.items():
+            self.known[zone] = _Received({zone: status}, now)
+
+    def drop(self, peer: NodeId) -> None:
+        """Forget a peer whose link is gone."""
+        self.children.pop(peer, None)
+        self.siblings.pop(peer, None)
+
+    def subtree(self, applied: Offset, now: Seconds) -> StatusReport:
+        """Summarise this node and its children."""
+        own = {
+            self.identity.zone: ZoneStatus(
+                region=self.identity.region,
+                lowest=applied,
+                nodes=1,
+                age_s=0,
+            ),
+        }
+        return merge([own, *self._fresh(self.children, now)])
+
+    def region(self, applied: Offset, now: Seconds) -> StatusReport:
+        """Summarise the region, at a reader."""
+        siblings = self._fresh(self.siblings, now)
+        return merge([self.subtree(applied, now), *siblings])
+
+    def current_children(self, now: Seconds) -> list[NodeId]:
+        """List children that report to this node."""
+        return [
+            peer
+            for peer, received in self.children.items()
+            if self._is_fresh(received, now)
+        ]
+
+    def everything(self, now: Seconds) -> StatusReport:
+        """List every availability zone ever heard of, with its age."""
+        listed: dict[AvailabilityZoneId, ZoneStatus] = {}
+        for received in self.known.values():
+            listed.update(received.aged(now))
+        return listed
+
+    def _fresh(
+        self,
+        reports: dict[NodeId, _Received],
+        now: Seconds,
+    ) -> list[StatusReport]:
+        return [
+            received.aged(now)
+            for received in reports.values()
+            if self._is_fresh(received, now)
+        ]
+
+    def _is_fresh(self, received: _Received, now: Seconds) -> bool:
+        limit = self.settings.status_interval_s * MISSED_REPORTS
+        return now - received.at <= limit
+
+
+def of_region(report: StatusReport, region: RegionId) -> StatusReport:
+    """Select the availability zones of a region."""
+    return {
+        zone: status
+        for zone, status in report.items()
+        if status.region == region
+    }
+
+
+def without_region(report: StatusReport, region: RegionId) -> StatusReport:
+    """Select the availability zones of all regions but one."""
+    return {
+        zone: status
+        for zone, status in report.items()
+        if status.region != region
+    }
+
+
+def merge(reports: Iterable[StatusReport]) -> StatusReport:
+    """Combine reports on disjoint sets of nodes."""
+    merged: dict[AvailabilityZoneId, ZoneStatus] = {}
+    for report in reports:
+        for zone, status in report.items():
+            known = merged.get(zone)
+            merged[zone] = _combine(known, status) if known else status
+    return merged
+
+
+def _combine(left: ZoneStatus, right: ZoneStatus) -> ZoneStatus:
+    return ZoneStatus(
+        region=left.region,
+        lowest=min(left.lowest, right.lowest),
+        nodes=left.nodes + right.nodes,
+        age_s=max(left.age_s, right.age_s),
+    )
--- /dev/null
+++ b/packages/control/bilberryrail/control/status_exchange.py
@@ -0,0 +1,110 @@
+"""Who reports applied offsets to whom."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from bilberryrail.control.messages import SendStatus, StatusReport
+from bilberryrail.control.placement import Placement
+from bilberryrail.control.sources import Sources
+from bilberryrail.control.status import StatusBoard, of_region, without_region
+from bilberryrail.core.ids import NodeId, Offset, RegionId, Seconds
+
+#: Reports to a parent for each summary to the children. The summary lists
+#: all availability zones, and a parent sends it to sixteen children.
+REPORTS_PER_SUMMARY: Final = 4
+
+
+class StatusExchange:
+    """Sends reports up the relay tree and summaries down.
+
+    A child reports its subtree to its first parent, readers of one region
+    report their subtrees and what they know of other regions to each other, readers of different regions exchange
+    the summaries of their regions, and a summary of everything goes down to
+    the children that report here.
+    """
+
+    def __init__(
+        self,
+        board: StatusBoard,
+        placement: Placement,
+        sources: Sources,
+    ) -> None:
+        self.board = board
+        self.placement = placement
+        self.sources = sources
+        self._rounds = 0
+
+    def take(self, peer: NodeId, report: StatusReport, now: Seconds) -> None:
+        """Take a report by what its sender is to this node."""
+        region = self._region_of(peer)
+        if region != self._own_region:
+            self.board.take_summary(of_region(report, region), now)
+        elif self._is_sibling(peer):
+            self.board.take_sibling(peer, of_region(report, region), now)
+            self.board.take_summary(without_region(report, region), now)
+        elif self.sources.is_source(peer):
+            self.board.take_summary(report, now)
+        else:
+            self.board.take_child(peer, report, now)
+
+    def send(self, applied: Offset, now: Seconds) -> Iterator[SendStatus]:
+        """Send what is due each status interval."""
+        if self.placement.is_reader:
+            yield from self._send_as_reader(applied, now)
+        elif self.sources.first is not None:
+            subtree = self.board.subtree(applied, now)
+            yield SendStatus(self.sources.first, subtree)
+        self._rounds += 1
+        if self._rounds % REPORTS_PER_SUMMARY == 0:
+            yield from self._send_down(now)
+
+    def status(self, applied: Offset, now: Seconds) -> StatusReport:
+        """Summarise the whole system as far as this node knows."""
+        subtree = self.board.subtree(applied, now)
+        return {**subtree, **self.board.everything(now)}
+
+    def _send_as_reader(
+        self,
+        applied: Offset,
+        now: Seconds,
+    ) -> Iterator[SendStatus]:
+        region = self.board.region(applied, now)
+        self.board.set_summary(region, now)
+        # Other regions too, in case the link of a sibling to them is broken.
+        shared = {
+            **without_region(self.board.everything(now), self._own_region),
+            **self.board.subtree(applied, now),
+        }
+        for peer, member in self.sources.up.items():
+            if self._is_sibling(peer):
+                yield SendStatus(peer, shared)
+            elif self._is_remote_reader(peer, member.region):
+                yield SendStatus(peer, region)
+
+    def _send_down(self, now: Seconds) -> Iterator[SendStatus]:
+        everything = self.board.everything(now)
+        for peer in self.board.current_children(now):
+            if peer in self.sources.up:
+                yield SendStatus(peer, everything)
+
+    def _region_of(self, peer: NodeId) -> RegionId:
+        known = self.sources.up.get(peer)
+        known = known or self.placement.directory.members.get(peer)
+        return known.region if known else self._own_region
+
+    @property
+    def _own_region(self) -> RegionId:
+        return self.board.identity.region
+
+    def _is_sibling(self, peer: NodeId) -> bool:
+        is_reader = self.placement.is_reader
+        return is_reader and self._reads(peer, self._own_region)
+
+    def _is_remote_reader(self, peer: NodeId, region: RegionId) -> bool:
+        if region == self._own_region:
+            return False
+        return peer in self.sources.links or self._reads(peer, region)
+
+    def _reads(self, peer: NodeId, region: RegionId) -> bool:
+        readers = self.placement.directory.readers(region)
+        return any(reader.node == peer for reader in readers)
--- /dev/null
+++ b/packages/control/bilberryrail/control/upkeep.py
@@ -0,0 +1,96 @@
+"""What is due with time rather than with a message."""
+
+from collections.abc import Iterator
+from typing import Final
+
+from bilberryrail.control.messages import ControlAction, LogEvent, ReadLog
+from bilberryrail.control.parts import Parts
+from bilberryrail.core.ids import Seconds
+
+#: Status intervals for which a fresh node waits for a seed before it reads
+#: the log; the whole state from a peer costs no traffic between regions.
+SEED_INTERVALS: Final = 1
+
+_NEVER: Final = Seconds(float('inf'))
+
+
+class Upkeep:
+    """Runs a round every status interval and keeps the log being read.
+
+    Attributes
+    ----------
+    wakeup_at
+        Time by which something is due.
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        self.parts = parts
+        self.replica = parts.replica
+        self.wakeup_at = Seconds(float('-inf'))
+        self._seeds_until: Seconds | None = None
+        self._next_round = Seconds(float('-inf'))
+        self._last_offset = parts.replica.state.offset
+
+    def run_if_due(self, now: Seconds) -> Iterator[ControlAction]:
+        """Run a round if a status interval has passed."""
+        if now >= self._next_round:
+            interval = self.parts.settings.status_interval_s
+            self._next_round = Seconds(now + interval)
+            yield from self._run_round(now)
+
+    def read_log(self, now: Seconds) -> Iterator[ReadLog]:
+        """Read on if this node has to read the log."""
+        log = self.parts.log
+        reads_log = self._reads_log(now)
+        if reads_log:
+            start = self.replica.next_read
+            yield from log.read(start, self.replica.caught_up, now)
+        self.wakeup_at = min(
+            self._next_round,
+            log.wakeup_at if reads_log else _NEVER,
+        )
+
+    def watch_members(self) -> None:
+        """Measure the silence of members while this node is a reader."""
+        is_reader = self.parts.placement.is_reader
+        evictions = self.parts.evictions
+        if is_reader and not evictions.active:
+            evictions.start(self.replica.state)
+        elif evictions.active and not is_reader:
+            evictions.stop()
+
+    def _run_round(self, now: Seconds) -> Iterator[ControlAction]:
+        offset = self.replica.state.offset
+        self.parts.sources.suspect_silent(now)
+        self.parts.membership.expire_unlogged(now)
+        if self.replica.is_behind and offset == self._last_offset:
+            self.parts.sources.subscribe_again()
+        self._last_offset = offset
+        yield from self.parts.relay.beat(now)
+        yield from self.parts.exchange.send(offset, now)
+        self.parts.evictions.advance(self.parts.log.available, now)
+        yield from self._evict(now)
+
+    def _evict(self, now: Seconds) -> Iterator[ControlAction]:
+        evictions = self.parts.evictions
+        if not (evictions.active and self.parts.log.available):
+            return
+        readers = self.parts.directory.readers(self.parts.own.region)
+        nodes = tuple(reader.node for reader in readers)
+        for evict in evictions.due(self.replica.state, nodes):
+            yield LogEvent('evicted', {'node': evict.node})
+            yield self.parts.outbox.append(evict, now)
+
+    def _reads_log(self, now: Seconds) -> bool:
+        if self.parts.placement.is_reader:
+            return True
+        if not self.replica.caught_up and self._awaits_seed(now):
+            return False
+        return not self.parts.sources.is_answering(now)
+
+    def _awaits_seed(self, now: Seconds) -> bool:
+        settings = self.parts.settings
+        if self._seeds_until is None:
+            grace = settings.status_interval_s * SEED_INTERVALS
+            self._seeds_until = Seconds(now + grace)
+        return bool(settings.seeds) and now < self._seeds_until
