Strengthen tests of silent parents and of old announcements

Cause: both tests passed with the rule that they guard removed. Change: they check the sources of each node, and use an incarnation that no node has seen. Seen: each now fails with its rule removed and passes with it. Conclusion: the two rules are guarded.

--- a/packages/control/bilberryrail/control/plane_test.py
+++ b/packages/control/bilberryrail/control/plane_test.py
@@ -1,8 +1,10 @@
 """Behaviour of many control planes when parts of the system fail."""
 
+from dataclasses import replace
+
 from bilberryrail.control import messages
 from bilberryrail.control.settings import RelaySettings
-from bilberryrail.core.ids import NodeId, Offset
+from bilberryrail.core.ids import Incarnation, NodeId, Offset
 from bilberryrail.core.records import (
     AvailabilityZoneConfig,
     AvailabilityZoneEdit,
@@ -82,6 +84,8 @@
     network.run(6)
     network.planes.pop(frozen)
     assert network.offsets() == {network.log.end}
+    for plane in network.planes.values():
+        assert not plane.parts.sources.is_source(frozen)
 
 
 def test_join_while_log_is_down(network):
@@ -221,8 +225,10 @@
     network.run(20)
     _assert_agree(network)
     assert not any(plane.unlogged for plane in network.planes.values())
-    late = messages.RecordsReceived(NodeId('n4'), (), Offset(0), (died,))
+    unseen = replace(died, incarnation=Incarnation(7))
+    late = messages.RecordsReceived(NodeId('n4'), (), Offset(0), (unseen,))
     network.give('n3', late)
+    assert 'late' in network.planes[NodeId('n3')].unlogged
     network.run(5)
     assert not any(plane.unlogged for plane in network.planes.values())
 
