Withdraw a subtree from a former parent

Cause: a node that moved to another parent was counted by both until its last report aged, and its descendants kept the older, fresher looking sum. Change: a mover sends its former parent an empty report, and a child takes the summary of its parent as it is. Conclusion: counts settle with the placement.

--- a/packages/control/bilberryrail/control/status.py
+++ b/packages/control/bilberryrail/control/status.py
@@ -82,7 +82,7 @@
                 self.known[zone] = _Received({zone: status}, now)
 
     def set_summary(self, report: StatusReport, now: Seconds) -> None:
-        """Replace summaries by those that this reader made itself."""
+        """Replace summaries by those made here or sent by a parent."""
         for zone, status in report.items():
             self.known[zone] = _Received({zone: status}, now)
 
--- a/packages/control/bilberryrail/control/status_exchange.py
+++ b/packages/control/bilberryrail/control/status_exchange.py
@@ -17,10 +17,10 @@
 class StatusExchange:
     """Sends reports up the relay tree and summaries down.
 
-    A child reports its subtree to its first parent, readers of one region
-    report their subtrees and what they know of other regions to each other, readers of different regions exchange
-    the summaries of their regions, and a summary of everything goes down to
-    the children that report here.
+    A child reports its subtree to its first parent. Readers of one region
+    report their subtrees, and what they know of other regions, to each other.
+    Readers of different regions exchange the summaries of their regions. A
+    summary of everything goes down to the children that report here.
     """
 
     def __init__(
@@ -33,27 +33,32 @@
         self.placement = placement
         self.sources = sources
         self._rounds = 0
+        self._parent: NodeId | None = None
 
     def take(self, peer: NodeId, report: StatusReport, now: Seconds) -> None:
         """Take a report by what its sender is to this node."""
         region = self._region_of(peer)
+        if not report:
+            self.board.drop(peer)
+            return
         if region != self._own_region:
             self.board.take_summary(of_region(report, region), now)
         elif self._is_sibling(peer):
             self.board.take_sibling(peer, of_region(report, region), now)
             self.board.take_summary(without_region(report, region), now)
         elif self.sources.is_source(peer):
-            self.board.take_summary(report, now)
+            self.board.set_summary(report, now)
         else:
             self.board.take_child(peer, report, now)
 
     def send(self, applied: Offset, now: Seconds) -> Iterator[SendStatus]:
         """Send what is due each status interval."""
+        parent = None if self.placement.is_reader else self.sources.first
+        yield from self._move_to(parent)
         if self.placement.is_reader:
             yield from self._send_as_reader(applied, now)
-        elif self.sources.first is not None:
-            subtree = self.board.subtree(applied, now)
-            yield SendStatus(self.sources.first, subtree)
+        elif parent is not None:
+            yield SendStatus(parent, self.board.subtree(applied, now))
         self._rounds += 1
         if self._rounds % REPORTS_PER_SUMMARY == 0:
             yield from self._send_down(now)
@@ -63,6 +68,13 @@
         subtree = self.board.subtree(applied, now)
         return {**subtree, **self.board.everything(now)}
 
+    def _move_to(self, parent: NodeId | None) -> Iterator[SendStatus]:
+        """Withdraw this subtree from a former parent by an empty report."""
+        former = self._parent
+        self._parent = parent
+        if former != parent and former in self.sources.up:
+            yield SendStatus(former, {})
+
     def _send_as_reader(
         self,
         applied: Offset,
