Make the rows of the table in the worker processes

Cause: histograms of the library cannot be pickled, so the table ended with an error. Change: workers return rows.

--- a/packages/bench/bilberryrail/bench/table.py
+++ b/packages/bench/bilberryrail/bench/table.py
@@ -39,8 +39,7 @@
     yield HEADER
     yield _rule()
     with ProcessPoolExecutor(processes) as pool:
-        for case, result in zip(cases, pool.map(_run_case, cases), strict=True):
-            yield _row(case, result)
+        yield from pool.map(_run_case, cases)
 
 
 def _rule() -> str:
@@ -48,9 +47,11 @@
     return f'{"|---" * columns}|'
 
 
-def _run_case(case: Case) -> RunResult:
+def _run_case(case: Case) -> str:
+    # The row is made here because histograms cannot pass between processes.
     deployment, scenario, system, seed = case
-    return run(DEPLOYMENTS[deployment], system, SCENARIOS[scenario], seed)
+    result = run(DEPLOYMENTS[deployment], system, SCENARIOS[scenario], seed)
+    return _row(case, result)
 
 
 def _row(case: Case, result: RunResult) -> str:
