--- /dev/null
+++ b/packages/settings/bilberryrail/settings/node.py
@@ -0,0 +1,71 @@
+"""Settings of a node process, read from one JSON file."""
+
+from typing import Annotated, Final
+
+import msgspec
+
+from bilberryrail.control.settings import SECONDS_PER_DAY
+from bilberryrail.policy.settings import EngineSettings
+
+#: Highest port number of TCP.
+LARGEST_PORT: Final = 65535
+
+_Duration = Annotated[float, msgspec.Meta(gt=0, le=SECONDS_PER_DAY)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=LARGEST_PORT)]
+_Count = Annotated[int, msgspec.Meta(ge=1)]
+_Level = Annotated[str, msgspec.Meta(pattern='^(debug|info|warning|error)$')]
+_Url = Annotated[str, msgspec.Meta(pattern='^https?://[^/]+(/.*)?$')]
+_Stream = Annotated[str, msgspec.Meta(pattern='^[a-z0-9][a-z0-9.-]*$')]
+
+#: Largest body of a call or an answer unless the settings say otherwise.
+DEFAULT_BODY_BYTES: Final = 1_048_576
+#: Largest body that may be configured; frames are held in memory whole.
+LARGEST_BODY_BYTES: Final = 67_108_864
+
+
+class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Access to the platform's log service.
+
+    Attributes
+    ----------
+    timeout_s
+        Time after which a request counts as failed; a long poll gets
+        ``read_wait_s`` in addition.
+    read_limit
+        Records asked for in one read.
+    """
+
+    url: _Url
+    stream: _Stream = 'bilberryrail'
+    timeout_s: _Duration = 2.0
+    read_wait_s: _Duration = 10.0
+    read_limit: _Count = 500
+
+
+class BackendSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Address of the backend server beside this node."""
+
+    port: _Port
+    host: str = '127.0.0.1'
+    connect_timeout_s: _Duration = 1.0
+
+
+class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Everything a node process is told at start.
+
+    Attributes
+    ----------
+    max_body_bytes
+        Largest body of a call or an answer.
+    """
+
+    engine: EngineSettings
+    log: LogSettings
+    backend: BackendSettings
+    operator_port: _Port
+    operator_host: str = '127.0.0.1'
+    max_body_bytes: Annotated[
+        int,
+        msgspec.Meta(ge=1, le=LARGEST_BODY_BYTES),
+    ] = DEFAULT_BODY_BYTES
+    log_level: _Level = 'info'
