Add the node process around the decision engine

Cause: the engine needs sockets, bodies, a clock and a life cycle.

Change: package node with one module per task; only engine_task calls the engine. Reason gains malformed-request. A scripted engine and raw HTTP in bench drive the shell in tests.

Before: no process.

--- a/packages/core/bilberryrail/core/load.py
+++ b/packages/core/bilberryrail/core/load.py
@@ -69,3 +69,4 @@
     ANSWER_NOT_KEPT = 'answer-not-kept'
     TOO_LARGE = 'too-large'
     INCOMPLETE_ANSWER = 'incomplete-answer'
+    MALFORMED_REQUEST = 'malformed-request'
--- /dev/null
+++ b/packages/node/bilberryrail/node/caller_request.py
@@ -0,0 +1,148 @@
+"""Check what a caller sent before the engine hears of it."""
+
+import re
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final, Protocol
+
+from result import Err, Ok, Result
+
+from bilberryrail.control.settings import SECONDS_PER_DAY
+from bilberryrail.core.ids import CallId, ServiceId, TenantId
+from bilberryrail.core.load import Reason
+from bilberryrail.policy.events import (
+    CallArrived,
+    DispatchId,
+    ReservationAsked,
+    Token,
+)
+
+TENANT: Final = 'Bilberryrail-Tenant'
+DEADLINE: Final = 'Bilberryrail-Deadline-Ms'
+RESERVATION: Final = 'Bilberryrail-Reservation'
+PARENT: Final = 'Bilberryrail-Parent'
+
+_NAME: Final = re.compile('[a-z0-9][a-z0-9.-]{0,63}')
+#: A plain decimal number; at most 9 digits before and 6 after the point.
+_MILLISECONDS: Final = re.compile(r'[0-9]{1,9}(?:\.[0-9]{1,6})?')
+#: Dispatch ids fit into 63 bits.
+_DISPATCH: Final = re.compile('[0-9]{1,19}')
+#: Tokens are printable and go into a header on every submission.
+_TOKEN: Final = re.compile('[!-~]{1,1024}')
+
+
+class Headers(Protocol):
+    """The part of Twisted's headers that is used here."""
+
+    def getRawHeaders(self, name: str) -> list[str] | None:  # noqa: N802
+        """Return all values of a header."""
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFault:
+    """A request that is refused as invalid."""
+
+    status: int
+    reason: Reason
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class ControlHeaders:
+    """Checked headers of a caller."""
+
+    tenant: TenantId
+    deadline_s: float | None
+    token: Token | None
+    parent: DispatchId | None
+
+
+class _HeaderError(ValueError):
+    """A control header is missing, duplicated or malformed."""
+
+
+def read_headers(headers: Headers) -> Result[ControlHeaders, RequestFault]:
+    """Check the control headers of a request."""
+    try:
+        return Ok(_read_headers(headers))
+    except _HeaderError as error:
+        return Err(_malformed(str(error)))
+
+
+def read_service(name: str) -> Result[ServiceId, RequestFault]:
+    """Check the service name in the path."""
+    if _NAME.fullmatch(name):
+        return Ok(ServiceId(name))
+    return Err(_malformed('the service in the path is not a valid name'))
+
+
+def call_event(
+    call: CallId,
+    service: ServiceId,
+    headers: ControlHeaders,
+    size: int,
+) -> CallArrived:
+    """Build the event of a call."""
+    return CallArrived(
+        call=call,
+        service=service,
+        tenant=headers.tenant,
+        size=size,
+        deadline_s=headers.deadline_s,
+        token=headers.token,
+        parent=headers.parent,
+    )
+
+
+def reservation_event(
+    call: CallId,
+    service: ServiceId,
+    headers: ControlHeaders,
+) -> ReservationAsked:
+    """Build the event of a request for a reservation."""
+    return ReservationAsked(
+        call=call,
+        service=service,
+        tenant=headers.tenant,
+        deadline_s=headers.deadline_s,
+        parent=headers.parent,
+    )
+
+
+def _read_headers(headers: Headers) -> ControlHeaders:
+    tenant = _one(headers, TENANT, _NAME)
+    if tenant is None:
+        raise _HeaderError(f'{TENANT} is missing')
+    token = _one(headers, RESERVATION, _TOKEN)
+    parent = _one(headers, PARENT, _DISPATCH)
+    return ControlHeaders(
+        tenant=TenantId(tenant),
+        deadline_s=_deadline(headers),
+        token=None if token is None else Token(token),
+        parent=None if parent is None else DispatchId(int(parent)),
+    )
+
+
+def _deadline(headers: Headers) -> float | None:
+    text = _one(headers, DEADLINE, _MILLISECONDS)
+    if text is None:
+        return None
+    deadline_s = float(text) / 1000
+    if not 0 < deadline_s <= SECONDS_PER_DAY:
+        raise _HeaderError(f'{DEADLINE} must be positive, at most one day')
+    return deadline_s
+
+
+def _one(headers: Headers, name: str, form: re.Pattern[str]) -> str | None:
+    found = headers.getRawHeaders(name)
+    if not found:
+        return None
+    if len(found) > 1:
+        raise _HeaderError(f'{name} is given {len(found)} times')
+    if form.fullmatch(found[0]) is None:
+        raise _HeaderError(f'{name} does not match {form.pattern}')
+    return found[0]
+
+
+def _malformed(text: str) -> RequestFault:
+    return RequestFault(HTTPStatus.BAD_REQUEST, Reason.MALFORMED_REQUEST, text)
--- /dev/null
+++ b/packages/node/bilberryrail/node/caller_server.py
@@ -0,0 +1,192 @@
+"""HTTP server for callers; section 4.1 of the design."""
+
+import itertools
+from http import HTTPStatus
+from typing import Any
+
+from klein import Klein
+from result import Err, Ok, Result
+from twisted.internet.defer import Deferred
+
+from bilberryrail.core.ids import CallId, ServiceId
+from bilberryrail.core.load import Outcome, Reason
+from bilberryrail.node import caller_reply, caller_request
+from bilberryrail.node.engine_task import EngineTask
+from bilberryrail.node.metrics import Step
+from bilberryrail.policy import actions
+from bilberryrail.policy.events import CallerGone
+from bilberryrail.wire.content import CallContent
+
+_Checked = Result[
+    tuple[ServiceId, caller_request.ControlHeaders],
+    caller_request.RequestFault,
+]
+
+
+class CallerServer:
+    """Hands calls to the engine and writes its final responses.
+
+    Attributes
+    ----------
+    waiting
+        Requests without a final response, with the deferred of each.
+    """
+
+    app = Klein()
+
+    def __init__(self, engine_task: EngineTask) -> None:
+        self.engine_task = engine_task
+        self.metrics = engine_task.metrics
+        self.waiting: dict[CallId, tuple[Any, Deferred[bytes]]] = {}
+        self.ids = itertools.count(1)
+
+    @app.route('/v1/services/<service>/calls', methods=['POST'])
+    @app.route('/v1/services/<service>/calls/<path:_suffix>', methods=['POST'])
+    def call(self, request: Any, service: str, _suffix: str = '') -> Any:
+        """Start a call."""
+        started_at = self.engine_task.reactor.seconds()
+        checked = _check(request, service)
+        if not isinstance(checked, Ok):
+            return self._refuse(request, checked.unwrap_err())
+        service_id, headers = checked.ok_value
+        call = CallId(next(self.ids))
+        payload = CallContent(
+            path=_suffix_of(request.uri),
+            content_type=request.getHeader('content-type') or '',
+            body=request.content.read(),
+        )
+        event = caller_request.call_event(
+            call,
+            service_id,
+            headers,
+            len(payload.body),
+        )
+        response = self._wait(request, call)
+        elapsed = self.engine_task.reactor.seconds() - started_at
+        self.metrics.observe(Step.PARSE, elapsed)
+        self.engine_task.submit(event, payload)
+        return response
+
+    @app.route('/v1/services/<service>/reservations', methods=['POST'])
+    def reserve(self, request: Any, service: str) -> Any:
+        """Ask for a reservation."""
+        checked = _check(request, service)
+        if not isinstance(checked, Ok):
+            return self._refuse(request, checked.unwrap_err())
+        service_id, headers = checked.ok_value
+        call = CallId(next(self.ids))
+        response = self._wait(request, call)
+        self.engine_task.submit(
+            caller_request.reservation_event(call, service_id, headers),
+        )
+        return response
+
+    def complete(
+        self,
+        action: actions.CompleteCall,
+    ) -> None:
+        """Write the answer that came with an attempt."""
+        bodies = self.engine_task.bodies
+        answer = bodies.answers.pop((action.peer, action.attempt), None)
+        if answer is None:
+            self.finish(
+                action.call,
+                Outcome.UNKNOWN,
+                caller_reply.rejected(
+                    Outcome.UNKNOWN,
+                    Reason.INCOMPLETE_ANSWER,
+                    0,
+                ),
+            )
+            return
+        reply = caller_reply.completed(
+            action.status,
+            answer.content_type,
+            answer.body,
+        )
+        self.finish(action.call, Outcome.COMPLETED, reply)
+
+    def reject(self, action: actions.RejectCall) -> None:
+        """Write why there is no answer."""
+        self.metrics.count_refusal(action.reason)
+        reply = caller_reply.rejected(
+            action.outcome,
+            action.reason,
+            action.retry_after_s,
+        )
+        self.finish(action.call, action.outcome, reply)
+
+    def grant(self, action: actions.GrantReservation) -> None:
+        """Write a token."""
+        reply = caller_reply.granted(action.token)
+        self.finish(action.call, Outcome.COMPLETED, reply)
+
+    def finish(
+        self,
+        call: CallId,
+        outcome: Outcome,
+        reply: caller_reply.Reply,
+    ) -> None:
+        """Write a final response; harmless if the caller is gone."""
+        self.engine_task.bodies.calls.pop(call, None)
+        request, response = self.waiting.pop(call, (None, None))
+        if request is None:
+            return
+        self.metrics.count_outcome(outcome)
+        response.callback(_write(request, reply))
+
+    def _wait(self, request: Any, call: CallId) -> Deferred[bytes]:
+        # klein cancels the deferred when the caller closes its connection.
+        response: Deferred[bytes] = Deferred(lambda _: self._gone(call))
+        self.waiting[call] = (request, response)
+        return response
+
+    def _gone(self, call: CallId) -> None:
+        if self.waiting.pop(call, None):
+            self.engine_task.submit(CallerGone(call))
+
+    def _refuse(
+        self, request: Any, fault: caller_request.RequestFault
+    ) -> bytes:
+        self.metrics.count_outcome(Outcome.INVALID)
+        self.metrics.count_refusal(fault.reason)
+        reply = caller_reply.rejected(
+            Outcome.INVALID,
+            fault.reason,
+            0,
+            fault.status,
+        )
+        request.setHeader('Bilberryrail-Detail', fault.text)
+        return _write(request, reply)
+
+
+def _check(request: Any, service: str) -> _Checked:
+    if request.too_large:
+        limit = request.channel.factory.max_body_bytes
+        text = f'the body exceeds {limit} bytes'
+        return Err(
+            caller_request.RequestFault(
+                HTTPStatus.REQUEST_ENTITY_TOO_LARGE, Reason.TOO_LARGE, text
+            )
+        )
+    named = caller_request.read_service(service)
+    if named.is_err():
+        return named
+    headers = caller_request.read_headers(request.requestHeaders)
+    return headers.map(lambda found: (named.ok_value, found))
+
+
+def _suffix_of(uri: bytes) -> str:
+    """Cut path and query after ``/calls`` out of a request's target."""
+    _, _, rest = uri.partition(b'/calls')
+    return rest.removeprefix(b'/').decode('latin-1')
+
+
+def _write(request: Any, reply: caller_reply.Reply) -> bytes:
+    request.setResponseCode(reply.status)
+    if reply.content_type:
+        request.setHeader('Content-Type', reply.content_type)
+    request.setHeader('Content-Length', str(len(reply.body)))
+    for name, text in reply.headers:
+        request.setHeader(name, text)
+    return reply.body
--- /dev/null
+++ b/packages/node/bilberryrail/node/http_client.py
@@ -0,0 +1,83 @@
+"""HTTP client with persistent connections to one address."""
+
+from http.cookiejar import CookieJar, DefaultCookiePolicy
+from typing import Any
+
+from treq.client import HTTPClient
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.web.client import URI, Agent, HTTPConnectionPool
+from twisted.web.iweb import IAgentEndpointFactory
+from zope.interface import implementer
+
+
+@implementer(IStreamClientEndpoint)
+class NoDelayEndpoint:
+    """A TCP endpoint that sends small writes at once."""
+
+    def __init__(self, reactor: Any, uri: URI, timeout_s: float) -> None:
+        self.endpoint = TCP4ClientEndpoint(
+            reactor,
+            uri.host.decode('ascii'),
+            uri.port,
+            timeout=timeout_s,
+        )
+
+    def connect(self, factory: Any) -> Any:
+        """Connect and turn Nagle's algorithm off."""
+        return self.endpoint.connect(factory).addCallback(_without_delay)
+
+
+@implementer(IAgentEndpointFactory)
+class EndpointFactory:
+    """Builds the endpoints of an agent."""
+
+    def __init__(self, reactor: Any, timeout_s: float) -> None:
+        self.reactor = reactor
+        self.timeout_s = timeout_s
+
+    def endpointForURI(self, uri: URI) -> NoDelayEndpoint:  # noqa: N802
+        """Build the endpoint for an address."""
+        return NoDelayEndpoint(self.reactor, uri, self.timeout_s)
+
+
+class PooledClient:
+    """A treq client whose requests are sent exactly once.
+
+    Cookies are refused: they would travel from one tenant's answer into
+    another tenant's call.
+    """
+
+    def __init__(self, reactor: Any, connect_timeout_s: float) -> None:
+        self.reactor = reactor
+        self.pool = HTTPConnectionPool(reactor, persistent=True)
+        self.pool.retryAutomatically = False
+        agent = Agent.usingEndpointFactory(
+            reactor,
+            EndpointFactory(reactor, connect_timeout_s),
+            self.pool,
+        )
+        policy = DefaultCookiePolicy(allowed_domains=())
+        self.client = HTTPClient(agent, cookiejar=CookieJar(policy))
+
+    def request(self, method: str, url: str, **options: Any) -> Any:
+        """Send a request; its deferred gives treq's response."""
+        return self.client.request(
+            method,
+            url,
+            allow_redirects=False,
+            unbuffered=True,
+            reactor=self.reactor,
+            **options,
+        )
+
+    def close(self) -> Any:
+        """Close idle connections."""
+        return self.pool.closeCachedConnections()
+
+
+def _without_delay(protocol: Any) -> Any:
+    transport = protocol.transport
+    if hasattr(transport, 'setTcpNoDelay'):
+        transport.setTcpNoDelay(True)
+    return protocol
--- /dev/null
+++ b/packages/node/bilberryrail/node/http_site.py
@@ -0,0 +1,75 @@
+"""HTTP servers with bounded bodies that can be closed without a cut answer."""
+
+import asyncio
+from typing import Any, Final
+from weakref import WeakSet
+
+from twisted.web.resource import IResource
+from twisted.web.server import Request, Site
+
+#: Longest wait for clients that do not read their last answer.
+FLUSH_LIMIT_S: Final = 2.0
+_FLUSH_CHECK_S: Final = 0.01
+
+
+class BoundedRequest(Request):
+    """A request that stops storing its body above the site's limit."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.too_large = False
+        self.received_bytes = 0
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Notice a body that is announced as too large."""
+        self.channel.factory.channels.add(self.channel)
+        if length is not None and length > self.channel.factory.max_body_bytes:
+            self.too_large = True
+            length = 0
+        super().gotLength(length)
+
+    def handleContentChunk(self, chunk: bytes) -> None:  # noqa: N802
+        """Store a part of the body unless it exceeds the limit."""
+        self.received_bytes += len(chunk)
+        if self.received_bytes > self.channel.factory.max_body_bytes:
+            self.too_large = True
+        if not self.too_large:
+            super().handleContentChunk(chunk)
+
+
+class BoundedSite(Site):
+    """A site that knows its open connections.
+
+    Parameters
+    ----------
+    max_body_bytes
+        Limit that ``BoundedRequest`` applies.
+    """
+
+    def __init__(self, resource: IResource, max_body_bytes: int) -> None:
+        super().__init__(
+            resource,
+            requestFactory=BoundedRequest,
+            parsePOSTFormSubmission=False,
+        )
+        self.max_body_bytes = max_body_bytes
+        self.channels: WeakSet[Any] = WeakSet()
+        self.displayTracebacks = False
+
+    def log(self, request: Any) -> None:
+        """Write no access log; decisions have log lines of their own."""
+
+    async def flush(self, reactor: Any) -> None:
+        """Write out what is buffered, then close the connections."""
+        for channel in tuple(self.channels):
+            channel.loseConnection()
+        ends_at = reactor.seconds() + FLUSH_LIMIT_S
+        while self._has_output() and reactor.seconds() < ends_at:
+            await asyncio.sleep(_FLUSH_CHECK_S)
+
+    def _has_output(self) -> bool:
+        return any(
+            channel.transport is not None
+            and getattr(channel.transport, 'connected', False)
+            for channel in tuple(self.channels)
+        )
--- /dev/null
+++ b/packages/node/bilberryrail/node/log_client.py
@@ -0,0 +1,158 @@
+"""Client of the platform's log service; section 8.2."""
+
+from functools import partial
+from typing import Any, Final
+from urllib.parse import quote
+
+import msgspec
+from twisted.python.failure import Failure
+
+from bilberryrail.control.messages import (
+    AppendAcknowledged,
+    AppendUncertain,
+    LogExpired,
+    LogRead,
+    LogUnavailable,
+    ReadLog,
+)
+from bilberryrail.core.codec import decode_record, encode_record
+from bilberryrail.core.ids import Offset
+from bilberryrail.core.records import LogEntry, Record
+from bilberryrail.node import logs
+from bilberryrail.node.engine_task import EngineTask
+from bilberryrail.node.http_body import read_body
+from bilberryrail.node.http_client import PooledClient
+from bilberryrail.settings.node import LogSettings
+
+#: Bound on the answer to one read; snapshot parts are the largest records.
+MOST_READ_BYTES: Final = 268_435_456
+
+_CREATED: Final = 201
+_OK: Final = 200
+_GONE: Final = 410
+
+
+class LogError(Exception):
+    """The log service answered something that cannot be used."""
+
+
+class _Appended(msgspec.Struct):
+    """JSON of a stored append."""
+
+    offset: int
+
+
+class _Expired(msgspec.Struct):
+    """JSON of status 410."""
+
+    first: int
+
+
+class _Batch(msgspec.Struct):
+    """MessagePack of a read."""
+
+    first: int
+    end: int
+    records: list[tuple[int, bytes]]
+
+
+class LogClient:
+    """Carries out reads and appends, each exactly once."""
+
+    def __init__(self, engine_task: EngineTask, settings: LogSettings) -> None:
+        self.engine_task = engine_task
+        self.settings = settings
+        stream = quote(settings.stream, safe='')
+        base_url = settings.url.rstrip('/')
+        self.url = f'{base_url}/v1/streams/{stream}/records'
+        self.http = PooledClient(engine_task.reactor, settings.timeout_s)
+
+    def read(self, action: ReadLog) -> None:
+        """Read from an offset on, and report what came of it."""
+        wait_s = self.settings.read_wait_s if action.wait else 0
+        response = self.http.request(
+            'GET',
+            self.url,
+            params={
+                'start': str(max(action.start, 0)),
+                'limit': str(self.settings.read_limit),
+                'wait_ms': str(int(wait_s * 1000)),
+            },
+        )
+        response.addCallback(_whole)
+        response.addTimeout(
+            wait_s + self.settings.timeout_s,
+            self.engine_task.reactor,
+        )
+        response.addCallback(_read_event)
+        response.addErrback(
+            lambda failure: LogUnavailable(_describe(failure)),
+        )
+        response.addCallback(self.engine_task.submit)
+
+    def append(self, record: Record) -> None:
+        """Append a record once; without an answer it may be stored or not."""
+        response = self.http.request(
+            'POST',
+            self.url,
+            data=encode_record(record),
+            headers={'Content-Type': 'application/msgpack'},
+        )
+        response.addCallback(_whole)
+        response.addTimeout(
+            self.settings.timeout_s,
+            self.engine_task.reactor,
+        )
+        response.addCallback(partial(_append_event, record))
+        response.addErrback(
+            lambda failure: AppendUncertain(
+                record.record_id,
+                _describe(failure),
+            ),
+        )
+        response.addCallback(self.engine_task.submit)
+
+
+def _whole(response: Any) -> Any:
+    whole = read_body(response.original, MOST_READ_BYTES)
+    return whole.addCallback(lambda body: (response.code, body))
+
+
+def _append_event(
+    record: Record,
+    answer: tuple[int, bytes],
+) -> AppendAcknowledged:
+    status, body = answer
+    if status != _CREATED:
+        raise LogError(f'append was answered with status {status}')
+    stored = msgspec.json.decode(body, type=_Appended)
+    return AppendAcknowledged(record.record_id, Offset(stored.offset))
+
+
+def _read_event(answer: tuple[int, bytes]) -> LogRead | LogExpired:
+    status, body = answer
+    if status == _GONE:
+        expired = msgspec.json.decode(body, type=_Expired)
+        return LogExpired(Offset(expired.first))
+    if status != _OK:
+        raise LogError(f'read was answered with status {status}')
+    batch = msgspec.msgpack.decode(body, type=_Batch)
+    entries = (_entry(offset, raw) for offset, raw in batch.records)
+    return LogRead(
+        entries=tuple(entry for entry in entries if entry is not None),
+        end=Offset(batch.end),
+    )
+
+
+def _entry(offset: int, raw: bytes) -> LogEntry | None:
+    """Decode a record; every reader skips one that cannot be decoded."""
+    decoded = decode_record(raw)
+    if decoded.is_err():
+        reason = decoded.unwrap_err().reason
+        logs.warning('record-skipped', offset=offset, reason=reason)
+        return None
+    return LogEntry(Offset(offset), decoded.unwrap())
+
+
+def _describe(failure: Failure) -> str:
+    return f'{failure.type.__name__}: {failure.getErrorMessage()}'
--- /dev/null
+++ b/packages/node/bilberryrail/node/log_client_test.py
@@ -0,0 +1,114 @@
+"""Tests of the log client against raw answers on loopback."""
+
+import asyncio
+
+import msgspec
+import pytest
+from twisted.internet import reactor
+
+from bilberryrail.bench.raw_http import read_message
+from bilberryrail.bench.shell_harness import free_ports, node_settings
+from bilberryrail.control import messages
+from bilberryrail.core.codec import encode_record
+from bilberryrail.core.records import Leave, LogEntry
+from bilberryrail.node.engine_task import EngineTask
+from bilberryrail.node.log_client import LogClient
+
+LEAVE = Leave('r1', 'n1', 5)
+
+
+class Recorder(EngineTask):
+    """Keeps events instead of handling them."""
+
+    def __init__(self):
+        super().__init__(None, reactor)
+        self.events = asyncio.Queue()
+
+    def submit(self, event, payload=None):
+        self.events.put_nowait(event)
+
+
+def answer(status, body):
+    head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n'
+    return head.encode() + body
+
+
+def batch(*records, end=4):
+    found = {'first': 3, 'end': end, 'records': records}
+    return answer(200, msgspec.msgpack.encode(found))
+
+
+class RawLog:
+    """A log service that answers every request with the same bytes."""
+
+    def __init__(self, answered):
+        self.answered = answered
+        self.requests = []
+
+    async def serve(self, reader, writer):
+        self.requests.append(await read_message(reader))
+        if self.answered is None:
+            await asyncio.sleep(2)
+        writer.write(self.answered or b'')
+        writer.close()
+
+
+async def ask(action, answered):
+    """Carry out one action against a log that answers with given bytes."""
+    log = RawLog(answered)
+    port = free_ports(1)[0]
+    server = await asyncio.start_server(log.serve, '127.0.0.1', port)
+    recorder = Recorder()
+    client = LogClient(recorder, node_settings('n1', port).log)
+    if isinstance(action, messages.ReadLog):
+        client.read(action)
+    else:
+        client.append(action.record)
+    event = await recorder.events.get()
+    server.close()
+    assert len(log.requests) == 1
+    return event, log.requests[0]
+
+
+async def test_read_decodes_entries_and_skips_unreadable_ones():
+    """Guards against one bad record that stops every reader."""
+    records = ((3, encode_record(LEAVE)), (4, b'\xc1'))
+    event, request = await ask(messages.ReadLog(3, wait=True), batch(*records))
+    assert event == messages.LogRead((LogEntry(3, LEAVE),), 4)
+    assert request.path == (
+        '/v1/streams/bilberryrail/records?start=3&limit=500&wait_ms=10000'
+    )
+
+
+async def test_expired_offset():
+    """Guards against reading on from records that are gone."""
+    event, _ = await ask(
+        messages.ReadLog(3, wait=False), answer(410, b'{"first":9}')
+    )
+    assert event == messages.LogExpired(9)
+
+
+@pytest.mark.parametrize(
+    'answered',
+    [answer(500, b''), answer(200, b'\xc1'), batch()[:-1], b'', None],
+)
+async def test_failed_read_is_reported(answered):
+    """Guards against a reader that waits for ever after a lost answer."""
+    event, _ = await ask(messages.ReadLog(3, wait=False), answered)
+    assert isinstance(event, messages.LogUnavailable)
+
+
+async def test_append():
+    """Guards against a record that is changed on the way to the log."""
+    appended = answer(201, b'{"offset": 8}')
+    event, request = await ask(messages.AppendRecord(LEAVE), appended)
+    assert event == messages.AppendAcknowledged('r1', 8)
+    assert request.body == encode_record(LEAVE)
+
+
+@pytest.mark.parametrize('answered', [answer(500, b''), b'', None])
+async def test_lost_append_is_uncertain_and_not_repeated(answered):
+    """Guards against appending twice after a lost answer."""
+    event, _ = await ask(messages.AppendRecord(LEAVE), answered)
+    assert isinstance(event, messages.AppendUncertain)
+    assert event.record_id == 'r1'
--- /dev/null
+++ b/packages/node/bilberryrail/node/peer_dialer.py
@@ -0,0 +1,164 @@
+"""Opens links to other nodes, and closes those that nobody uses."""
+
+import asyncio
+import contextlib
+from typing import Any, Final
+
+from grpclib.client import Channel
+from grpclib.exceptions import ProtocolError, StreamTerminatedError
+
+from bilberryrail.control.messages import LinkDown, OpenLink
+from bilberryrail.core.ids import NodeId
+from bilberryrail.core.records import Member
+from bilberryrail.node import logs
+from bilberryrail.node.engine_task import EngineTask
+from bilberryrail.node.peer_link import PeerLink
+from bilberryrail.node.peer_links import PeerLinks
+from bilberryrail.wire import frames
+from bilberryrail.wire.peer_grpc import PeerStub
+
+#: Time to connect and to exchange Hello; far above a round trip of 60 ms.
+HELLO_TIMEOUT_S: Final = 2.0
+#: First and longest wait before a link that must stay open is opened again.
+FIRST_RETRY_S: Final = 0.1
+LONGEST_RETRY_S: Final = 5.0
+#: Time without frames after which a link that nothing requires is closed.
+IDLE_S: Final = 30.0
+
+Address = tuple[str, int]
+
+
+class DialError(Exception):
+    """The address did not answer as the node that was expected."""
+
+
+class PeerDialer:
+    """Keeps the outgoing side of links.
+
+    Attributes
+    ----------
+    wanted
+        Addresses of links that the engine asked to keep open.
+    dialing
+        Tasks by the address that they connect to.
+    """
+
+    def __init__(self, engine_task: EngineTask, links: PeerLinks) -> None:
+        self.engine_task = engine_task
+        self.links = links
+        self.wanted: dict[NodeId, Address] = {}
+        self.dialing: dict[Address, asyncio.Task[None]] = {}
+        links.dialer = self
+
+    def keep_open(self, action: OpenLink) -> None:
+        """Open a link, and again after each break, until ``release``."""
+        address = (action.host, action.port)
+        self.wanted[action.peer] = address
+        self._dial(address, action.peer)
+
+    def release(self, peer: NodeId) -> None:
+        """Let a link close when neither side has used it for a while."""
+        self.wanted.pop(peer, None)
+
+    def open_seed(self, host: str, port: int) -> None:
+        """Open a link to an address whose node is not known."""
+        self._dial((host, port), None)
+
+    def dial_member(self, peer: NodeId) -> bool:
+        """Open a link on demand to a member of the replayed state."""
+        address = self.wanted.get(peer) or self._address_of(peer)
+        if address is None:
+            return False
+        self._dial(address, peer)
+        return True
+
+    async def stop(self) -> None:
+        """Give up all connections."""
+        self.wanted.clear()
+        tasks = tuple(self.dialing.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _address_of(self, peer: NodeId) -> Address | None:
+        plane = self.engine_task.engine.plane
+        announcement = plane.state.members.get(peer)
+        member: Member | None = plane.unlogged.get(peer)
+        if announcement is not None:
+            member = announcement.member
+        return None if member is None else (member.host, member.port)
+
+    def _dial(self, address: Address, peer: NodeId | None) -> None:
+        if address in self.dialing or (peer and self.links.is_open(peer)):
+            return
+        task = asyncio.ensure_future(self._keep(address, peer))
+        self.dialing[address] = task
+        task.add_done_callback(lambda _: self._done(address, peer))
+
+    def _done(self, address: Address, peer: NodeId | None) -> None:
+        self.dialing.pop(address, None)
+        if peer is not None and not self.links.is_open(peer):
+            self.links.refuse_held(peer)
+
+    async def _keep(self, address: Address, peer: NodeId | None) -> None:
+        delay = FIRST_RETRY_S
+        while True:
+            served = await self._connect(address, peer)
+            if peer is None or self.wanted.get(peer) != address:
+                return
+            delay = FIRST_RETRY_S if served else delay * 2
+            await asyncio.sleep(min(delay, LONGEST_RETRY_S))
+            while self.links.is_open(peer):
+                # The peer has opened a link, which serves both directions.
+                await asyncio.sleep(LONGEST_RETRY_S)
+
+    async def _connect(self, address: Address, peer: NodeId | None) -> bool:
+        channel = Channel(*address)
+        try:
+            return await self._serve(channel, peer)
+        except Exception as error:
+            reason = f'{type(error).__name__}: {error}'
+            logs.warning('link-not-opened', address=address, reason=reason)
+            if peer is not None:
+                self.links.refuse_held(peer)
+                self.engine_task.submit(LinkDown(peer, reason))
+            return False
+        finally:
+            channel.close()
+
+    async def _serve(self, channel: Channel, peer: NodeId | None) -> bool:
+        async with PeerStub(channel).Exchange.open() as stream:
+            member = await asyncio.wait_for(
+                self._greet(stream, peer),
+                HELLO_TIMEOUT_S,
+            )
+            watch = asyncio.ensure_future(self._close_when_idle(member.node))
+            with contextlib.ExitStack() as stack:
+                stack.callback(watch.cancel)
+                await self.links.serve(stream, member)
+            # The peer may have ended or reset the stream already.
+            with contextlib.suppress(ProtocolError, StreamTerminatedError):
+                await stream.cancel()
+        return True
+
+    async def _greet(self, stream: Any, peer: NodeId | None) -> Member:
+        await stream.send_message(self.links.hello())
+        hello = frames.decode_hello(await stream.recv_message())
+        if hello.is_err():
+            raise DialError(hello.unwrap_err().reason)
+        member = hello.unwrap()
+        if peer is not None and member.node != peer:
+            raise DialError(f'node {member.node} answered instead of {peer}')
+        return member
+
+    async def _close_when_idle(self, peer: NodeId) -> None:
+        used = -1
+        while True:
+            await asyncio.sleep(IDLE_S)
+            for link in self.links.links.get(peer, ()):
+                if link.used == used and self._is_needless(link):
+                    link.finish()
+                used = link.used
+
+    def _is_needless(self, link: PeerLink) -> bool:
+        return link.member.node not in self.wanted and link.open_attempts <= 0
--- /dev/null
+++ b/packages/node/bilberryrail/node/peer_links.py
@@ -0,0 +1,203 @@
+"""All links to other nodes: sending, receiving, and what a break means."""
+
+import contextlib
+from collections import defaultdict
+from typing import Any, Final, Protocol
+
+from bilberryrail.control.messages import LinkDown, LinkUp
+from bilberryrail.core.ids import AttemptId, NodeId
+from bilberryrail.core.load import LoadReport, Outcome, Reason
+from bilberryrail.core.records import Member
+from bilberryrail.node import logs
+from bilberryrail.node.engine_task import EngineTask
+from bilberryrail.node.peer_link import PeerLink
+from bilberryrail.policy import actions
+from bilberryrail.policy.events import RefusalReceived
+from bilberryrail.wire import encoding, frames, peer_pb2
+from bilberryrail.wire.errors import AnswerError, RequestError, WireError
+
+#: Load of a target that no message reaches: it admits nothing now.
+UNREACHABLE: Final = LoadReport(in_flight=0, limit=0, queued=0, latency_s=0)
+#: Frames held back for one peer while its link is being opened.
+MOST_HELD_FRAMES: Final = 1000
+
+_CALL_KINDS: Final = frozenset(('call_request', 'reservation_request'))
+_UNCOUNTED_KINDS: Final = frozenset(
+    (
+        'call_request',
+        'call_answer',
+        'call_refusal',
+        'call_cancel',
+        'reservation_request',
+        'reservation_reply',
+    ),
+)
+
+
+class Dialer(Protocol):
+    """Opens links on demand."""
+
+    def dial_member(self, peer: NodeId) -> bool:
+        """Start to open a link; false if the address is not known."""
+
+
+class PeerLinks:
+    """Registry of open links.
+
+    Two nodes that open links to each other at the same time keep both; frames
+    go over the older one. When any of them breaks, the engine is told that the
+    peer was lost, since answers may have been lost with it, and that it is
+    back if another link is left.
+
+    Attributes
+    ----------
+    held
+        Frames for peers whose link is being opened.
+    """
+
+    def __init__(self, engine_task: EngineTask, max_body_bytes: int) -> None:
+        self.engine_task = engine_task
+        self.max_body_bytes = max_body_bytes
+        self.dialer: Dialer | None = None
+        self.links: dict[NodeId, list[PeerLink]] = defaultdict(list)
+        self.held: dict[NodeId, list[peer_pb2.Frame]] = {}
+        self.load = UNREACHABLE
+
+    def is_open(self, peer: NodeId) -> bool:
+        """Tell whether frames to a peer can be written now."""
+        return bool(self.links.get(peer))
+
+    def send(self, peer: NodeId, frame: peer_pb2.Frame, action: Any) -> None:
+        """Send a frame, opening a link first if there is none."""
+        self._note(frame, 'sent')
+        if isinstance(action, actions.SendAnswer | actions.SendRefusal):
+            self.load = action.load
+        links = self.links.get(peer)
+        if links:
+            links[0].send(frame)
+            return
+        held = self.held.setdefault(peer, [])
+        held.append(frame)
+        if len(held) > MOST_HELD_FRAMES or not self.dialer.dial_member(peer):
+            self.refuse_held(peer)
+
+    def hello(self) -> peer_pb2.Frame:
+        """Build the first frame of a link."""
+        engine = self.engine_task.engine
+        own = engine.identity
+        return encoding.hello_frame(
+            Member(
+                node=own.node,
+                incarnation=engine.incarnation,
+                service=own.service,
+                zone=own.zone,
+                region=own.region,
+                host=own.host,
+                port=own.port,
+                http_port=own.http_port,
+            ),
+        )
+
+    async def serve(self, stream: Any, member: Member) -> None:
+        """Run a link whose peer has said who it is, until it ends."""
+        link = PeerLink(stream, member, self._received)
+        self.links[member.node].append(link)
+        for frame in self.held.pop(member.node, ()):
+            link.send(frame)
+        self.engine_task.submit(LinkUp(member))
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._ended, link)
+            await link.run()
+
+    def refuse_held(self, peer: NodeId) -> None:
+        """Tell the engine that frames to a peer were never sent."""
+        for frame in self.held.pop(peer, ()):
+            self._not_sent(peer, frame)
+
+    def finish_all(self) -> None:
+        """Close all links after what is queued has been written."""
+        for links in tuple(self.links.values()):
+            for link in links:
+                link.finish()
+
+    def _ended(self, link: PeerLink) -> None:
+        peer = link.member.node
+        left = self.links[peer]
+        left.remove(link)
+        for frame in link.unsent():
+            self._not_sent(peer, frame)
+        self.engine_task.submit(LinkDown(peer, link.reason))
+        if left:
+            self.engine_task.submit(LinkUp(left[0].member))
+        else:
+            self.links.pop(peer, None)
+
+    def _not_sent(self, peer: NodeId, frame: peer_pb2.Frame) -> None:
+        kind = frame.WhichOneof('kind')
+        if kind in _CALL_KINDS:
+            attempt = AttemptId(getattr(frame, kind).attempt)
+            self._refusal(peer, attempt, Outcome.NOT_RUN, Reason.LINK_LOST)
+
+    def _refusal(
+        self,
+        peer: NodeId,
+        attempt: AttemptId,
+        outcome: Outcome,
+        reason: Reason,
+        load: LoadReport = UNREACHABLE,
+    ) -> None:
+        self.engine_task.submit(
+            RefusalReceived(peer, attempt, outcome, reason, 0, load),
+        )
+
+    def _received(self, link: PeerLink, frame: peer_pb2.Frame) -> bool:
+        """Handle a frame; false if the link cannot be trusted further."""
+        self._note(frame, 'received')
+        peer = link.member.node
+        decoded = frames.decode_frame(frame, peer, self.max_body_bytes)
+        if decoded.is_ok():
+            received = decoded.ok_value
+            self.engine_task.submit(received.event, received.payload)
+            return True
+        return self._bad_frame(link, decoded.err_value)
+
+    def _bad_frame(self, link: PeerLink, error: WireError) -> bool:
+        peer = link.member.node
+        logs.warning('bad-frame', peer=peer, reason=error.reason)
+        match error:
+            case AnswerError(attempt=attempt, load=load):
+                reason = Reason.INCOMPLETE_ANSWER
+                self._refusal(peer, attempt, Outcome.UNKNOWN, reason, load)
+                return True
+            case RequestError():
+                link.send(self._invalid_request(peer, error))
+                return True
+        link.reason = f'protocol error: {error.reason}'
+        return False
+
+    def _invalid_request(
+        self,
+        peer: NodeId,
+        error: RequestError,
+    ) -> peer_pb2.Frame:
+        reason = Reason.MALFORMED_REQUEST
+        if error.too_large:
+            reason = Reason.TOO_LARGE
+        refusal = actions.SendRefusal(
+            peer=peer,
+            attempt=error.attempt,
+            outcome=Outcome.INVALID,
+            reason=reason,
+            retry_after_s=0,
+            load=self.load,
+        )
+        return encoding.plain_frame(
+            refusal,
+            self.engine_task.engine.incarnation,
+        )
+
+    def _note(self, frame: peer_pb2.Frame, direction: str) -> None:
+        kind = frame.WhichOneof('kind')
+        if kind is not None and kind not in _UNCOUNTED_KINDS:
+            size = frame.ByteSize()
+            self.engine_task.metrics.count_frame(kind, direction, size)
--- /dev/null
+++ b/packages/node/bilberryrail/node/peer_links_test.py
@@ -0,0 +1,128 @@
+"""Tests of links with peers that break the protocol."""
+
+import pytest
+from grpclib.client import Channel
+from twisted.internet import reactor
+
+from bilberryrail.bench.raw_http import RawClient, request_bytes
+from bilberryrail.bench.scripted_engine import LIMITS, LOAD
+from bilberryrail.bench.shell_harness import (
+    introduce,
+    node_settings,
+    start_shell,
+)
+from bilberryrail.control.messages import LinkDown, LinkUp
+from bilberryrail.core.load import Outcome, Reason
+from bilberryrail.core.records import Member
+from bilberryrail.policy import actions, events
+from bilberryrail.wire import encoding, peer_pb2
+from bilberryrail.wire.content import AnswerContent, CallContent
+from bilberryrail.wire.peer_grpc import PeerStub
+
+MEMBER = Member('peer', 7, 'bookings', 'ub1', 'ulaanbaatar', '127.0.0.1', 1, 1)
+HELLO = encoding.hello_frame(MEMBER)
+TENANT = 'Bilberryrail-Tenant: club\r\n'
+
+
+@pytest.fixture
+def stream(shell, on_loop):
+    """Open a link to the shell, which sends its calls there."""
+    shell.engine.target = 'peer'
+    channel = Channel('127.0.0.1', shell.settings.engine.identity.port)
+    opened = PeerStub(channel).Exchange.open()
+    yield on_loop(opened.__aenter__())
+    channel.close()
+
+
+async def greet(stream):
+    await stream.send_message(HELLO)
+    return await stream.recv_message()
+
+
+async def test_peer_that_does_not_say_hello_is_refused(shell, stream, until):
+    """Guards against frames from a peer that has no name."""
+    await stream.send_message(peer_pb2.Frame(probe=peer_pb2.Probe()))
+    assert await stream.recv_message() is None
+    assert not shell.engine.seen(LinkUp)
+
+
+async def test_malformed_frame_ends_only_its_link(shell, stream, until):
+    """Guards against a faulty peer that stops the node."""
+    hello = await greet(stream)
+    assert hello.hello.member.node == 'n1'
+    await stream.send_message(peer_pb2.Frame())
+    await until(lambda: shell.engine.seen(LinkDown))
+    assert 'protocol error' in shell.engine.seen(LinkDown)[0].reason
+    shell.engine.target = 'n1'
+    client = RawClient(shell.callers_port)
+    path = '/v1/services/bookings/calls'
+    answer = await client.ask(request_bytes(path, TENANT, b'x'))
+    assert answer.body == b'x'
+
+
+async def test_oversized_attempt_is_refused_as_invalid(shell, stream, until):
+    """Guards against a body limit that only callers have to respect."""
+    await greet(stream)
+    attempt = actions.SendAttempt('n1', 5, 1, 's', 't', LIMITS)
+    payload = CallContent('', '', b'x' * 1001)
+    await stream.send_message(encoding.request_frame(attempt, payload))
+    refusal = (await stream.recv_message()).call_refusal
+    assert (refusal.attempt, refusal.outcome) == (5, 'invalid')
+    assert refusal.reason == 'too-large'
+    assert not shell.engine.seen(events.AttemptReceived)
+
+
+async def test_damaged_answer_is_an_unknown_outcome(shell, stream, until):
+    """Guards against an answer whose bytes changed on the way."""
+    await greet(stream)
+    action = actions.SendAnswer('n1', 5, 9, 200, LOAD)
+    frame = encoding.answer_frame(action, AnswerContent('', b'whole'))
+    frame.call_answer.body = b'whale'
+    await stream.send_message(frame)
+    await until(lambda: shell.engine.seen(events.RefusalReceived))
+    refusal = shell.engine.seen(events.RefusalReceived)[0]
+    assert refusal.outcome is Outcome.UNKNOWN
+    assert refusal.reason is Reason.INCOMPLETE_ANSWER
+
+
+async def test_late_and_duplicate_answers_are_dropped(shell, stream, until):
+    """Guards against an answer that reaches another caller or is kept."""
+    await greet(stream)
+    client = RawClient(shell.callers_port)
+    path = '/v1/services/bookings/calls'
+    await client.send(request_bytes(path, TENANT))
+    attempt = (await stream.recv_message()).call_request.attempt
+    for number, body in ((999, b'late'), (attempt, b'a'), (attempt, b'b')):
+        action = actions.SendAnswer('n1', number, 9, 200, LOAD)
+        frame = encoding.answer_frame(action, AnswerContent('', body))
+        await stream.send_message(frame)  # noqa: WPS476
+    await until(lambda: len(shell.engine.seen(events.AnswerReceived)) == 3)
+    answer = await client.ask(b'')
+    assert answer.body == b'a'
+    assert not shell.process.engine_task.bodies.answers
+
+
+async def test_lost_link_ends_running_calls(shell, stream):
+    """Guards against calls that hang after their target is gone."""
+    await greet(stream)
+    client = RawClient(shell.callers_port)
+    path = '/v1/services/bookings/calls'
+    await client.send(request_bytes(path, TENANT))
+    await stream.recv_message()
+    await stream.cancel()
+    answer = await client.ask(b'')
+    assert answer.headers['bilberryrail-outcome'] == 'unknown'
+
+
+@pytest.mark.parametrize('name', ['n2', 'nobody'])
+async def test_unreachable_target_is_not_run(shell, name):
+    """Guards against calling an attempt unknown that was never sent."""
+    other = await start_shell(node_settings('n2'), reactor, 'n2')
+    introduce(shell, other)
+    await other.close()
+    client = RawClient(shell.callers_port)
+    shell.engine.target = name
+    path = '/v1/services/bookings/calls'
+    answer = await client.ask(request_bytes(path, TENANT))
+    assert answer.headers['bilberryrail-outcome'] == 'not-run'
+    assert answer.headers['bilberryrail-reason'] == 'link-lost'
--- /dev/null
+++ b/packages/node/bilberryrail/node/process_test.py
@@ -0,0 +1,145 @@
+"""Tests of the life of a process: input after a pause, draining, operators."""
+
+import asyncio
+from functools import partial
+
+import msgspec
+from twisted.internet import reactor
+
+from bilberryrail.bench.raw_http import RawClient, read_message, request_bytes
+from bilberryrail.control import messages
+from bilberryrail.core.records import ChangeOutcome, Verdict
+from bilberryrail.node.lifecycle import Phase
+from bilberryrail.policy import actions, events
+
+TENANT = 'Bilberryrail-Tenant: club\r\n'
+CALLS = '/v1/services/bookings/calls'
+INTENT = {
+    'zones': [{'zone': 'ub1', 'region': 'ulaanbaatar'}],
+    'tenants': [{'tenant': 'club'}],
+}
+
+
+def recorded(order, event):
+    order.append(event)
+    return ()
+
+
+async def test_draining_finishes_calls_in_flight(shell, until):
+    """Guards against a shutdown that cuts answers or never ends."""
+    await until(lambda: shell.process.hooks.phase is Phase.SERVING)
+    client = RawClient(shell.callers_port)
+    await client.send(request_bytes(f'{CALLS}/hang', TENANT, b'x'))
+    await until(lambda: shell.backend.requests)
+    shell.process.lifecycle.terminate()
+    shell.process.lifecycle.terminate()
+    assert len(shell.engine.seen(messages.DrainRequested)) == 1
+    assert shell.process.hooks.phase is Phase.DRAINING
+    shell.backend.released.set()
+    answer = await client.ask(b'')
+    assert (answer.status, answer.body) == (200, b'x')
+    await shell.process.finished
+    assert shell.process.hooks.phase is Phase.STOPPED
+
+
+async def test_target_that_drains_answers_its_peers(
+    ingress,
+    target,
+    client,
+    until,
+):
+    """Guards against a stopped target that loses a finished answer."""
+    await client.send(request_bytes(f'{CALLS}/hang', TENANT, b'x'))
+    await until(lambda: target.backend.requests)
+    target.process.lifecycle.terminate()
+    target.backend.released.set()
+    answer = await client.ask(b'')
+    assert (answer.status, answer.body) == (200, b'x')
+    await target.process.finished
+
+
+async def test_waiting_input_is_read_before_input_drained(shell, until):
+    """Guards against admitting calls before their cancellations are read."""
+    clients = [RawClient(shell.callers_port) for _ in range(20)]
+    request = request_bytes(CALLS, TENANT)
+    await asyncio.gather(*[client.ask(request) for client in clients])
+    order = []
+    script = partial(recorded, order)
+    shell.engine.scripts[events.CallArrived] = script
+    shell.engine.scripts[events.InputDrained] = script
+    await asyncio.gather(*[client.send(request) for client in clients])
+    shell.engine.scripts[events.ProbeReceived] = lambda _: (
+        actions.DrainInput(),
+        actions.DrainInput(),
+    )
+    shell.process.engine_task.submit(events.ProbeReceived('n1', 1))
+    await until(lambda: shell.engine.seen(events.InputDrained))
+    assert len(order) == 21
+    assert isinstance(order[-1], events.InputDrained)
+
+
+async def test_wakeup_at_is_kept_when_it_moves(shell, until):
+    """Guards against a timer that is late or left at an old time."""
+    engine, task = shell.engine, shell.process.engine_task
+    for delay in (5, 0.02):
+        engine.wakeup_at = reactor.seconds() + delay
+        task.submit(events.ProbeReceived('n1', 1))
+    seen = len(engine.events)
+    await asyncio.sleep(0.01)
+    assert len(engine.events) == seen
+    await until(lambda: len(engine.events) > seen)
+    engine.wakeup_at = float('inf')
+
+
+async def test_plan_and_confirm(shell):
+    """Guards against answers that the operators' command cannot read."""
+    client = RawClient(shell.settings.operator_port)
+    body = msgspec.json.encode(INTENT)
+    made = await client.ask(request_bytes('/v1/operator/plan', '', body))
+    assert made.status == 200
+    bad = await client.ask(request_bytes('/v1/operator/plan', '', b'{'))
+    assert bad.status == 400
+    assert set(msgspec.json.decode(bad.body)) == {'error', 'field'}
+    confirm = request_bytes('/v1/operator/confirm', '', made.body)
+    confirmed = await client.ask(confirm)
+    assert confirmed.status == 202
+    asked = shell.engine.seen(messages.AppendRequested)[0]
+    assert msgspec.json.decode(confirmed.body) == {
+        'record_id': asked.record.record_id,
+    }
+    shell.engine.plane.log_available = False
+    assert (await client.ask(confirm)).status == 503
+
+
+async def test_change_and_status(shell):
+    """Guards against a verdict that differs from the replayed one."""
+    client = RawClient(shell.settings.operator_port)
+    path = '/v1/operator/changes/r1'
+    assert (await read(client, path))['verdict'] == 'pending'
+    outcome = ChangeOutcome('r1', 4, Verdict.REJECTED, 'conflict')
+    shell.engine.plane.state.outcomes['r1'] = outcome
+    assert await read(client, path) == {
+        'verdict': 'rejected',
+        'offset': 4,
+        'reason': 'conflict',
+    }
+    status = await read(client, '/v1/operator/status')
+    assert (status['node'], status['log']) == ('n1', 'up')
+
+
+async def test_metrics_have_no_tenant(shell):
+    """Guards against a series for each tenant, and against empty metrics."""
+    caller = RawClient(shell.callers_port)
+    await caller.ask(request_bytes(CALLS, TENANT))
+    client = RawClient(shell.settings.operator_port)
+    await client.send(b'GET /metrics HTTP/1.0\r\n\r\n')
+    text = (await client.streams[0].read()).decode()
+    assert 'bilberryrail_calls_total{outcome="completed"} 1' in text
+    assert 'bilberryrail_step_seconds_count{step="decide"} 1' in text
+    assert 'club' not in text
+
+
+async def read(client, path):
+    await client.send(f'GET {path} HTTP/1.1\r\nHost: x\r\n\r\n'.encode())
+    message = await read_message(client.streams[0])
+    return msgspec.json.decode(message.body)
--- /dev/null
+++ b/packages/node/conftest.py
@@ -0,0 +1,60 @@
+"""Shells with scripted engines for the tests of this package."""
+
+import asyncio
+
+import pytest
+from twisted.internet import reactor
+
+from bilberryrail.bench.raw_http import RawClient
+from bilberryrail.bench.shell_harness import (
+    node_settings,
+    start_pair,
+    start_shell,
+)
+
+
+@pytest.fixture
+def pair(on_loop):
+    """Start an ingress and a target."""
+    ingress, target = on_loop(start_pair(reactor))
+    yield ingress, target
+    on_loop(ingress.close())
+    on_loop(target.close())
+
+
+@pytest.fixture
+def ingress(pair):
+    """Give the ingress of the pair."""
+    return pair[0]
+
+
+@pytest.fixture
+def target(pair):
+    """Give the target of the pair."""
+    return pair[1]
+
+
+@pytest.fixture
+def client(ingress):
+    """Give a caller of the ingress."""
+    return RawClient(ingress.callers_port)
+
+
+@pytest.fixture
+def shell(on_loop):
+    """Start a single shell that sends calls to itself."""
+    started = on_loop(start_shell(node_settings('n1'), reactor, 'n1'))
+    yield started
+    on_loop(started.close())
+
+
+@pytest.fixture
+def until():
+    """Give a way to wait for a condition."""
+    return wait_until
+
+
+async def wait_until(condition):
+    """Wait until a condition holds."""
+    while not condition():
+        await asyncio.sleep(0.005)
