--- a/packages/node/bilberryrail/node/caller_reply.py
+++ b/packages/node/bilberryrail/node/caller_reply.py
@@ -50,7 +50,7 @@
 def granted(token: str) -> Reply:
     """Hand out a token."""
     headers = ((OUTCOME, Outcome.COMPLETED.value),)
-    body = msgspec.json.encode({'reservation': token})
+    body = msgspec.json.encode({'token': token})
     return Reply(HTTPStatus.OK, body, headers=headers)
 
 
