--- a/packages/bench/bilberryrail/bench/shell_roles.py
+++ b/packages/bench/bilberryrail/bench/shell_roles.py
@@ -1,6 +1,7 @@
 """The processes of the latency measurement other than the caller."""
 
 import asyncio
+import gc
 import sys
 from enum import Enum
 from typing import Any
@@ -51,6 +52,8 @@
     engine.plane.unlogged[target.node] = member_of(target)
     process = NodeProcess(settings, engine, node_reactor)
     await process.start()
+    gc.collect()
+    gc.freeze()
     return process
 
 
--- a/packages/node/bilberryrail/node/caller_server.py
+++ b/packages/node/bilberryrail/node/caller_server.py
@@ -49,6 +49,8 @@
         if not isinstance(checked, Ok):
             return self._refuse(request, checked.unwrap_err())
         service_id, headers = checked.ok_value
+        if self.engine_task.stopped:
+            return self._refuse_stopped(request)
         call = CallId(next(self.ids))
         payload = CallContent(
             path=_suffix_of(request.uri),
@@ -74,6 +76,8 @@
         if not isinstance(checked, Ok):
             return self._refuse(request, checked.unwrap_err())
         service_id, headers = checked.ok_value
+        if self.engine_task.stopped:
+            return self._refuse_stopped(request)
         call = CallId(next(self.ids))
         response = self._wait(request, call)
         self.engine_task.submit(
@@ -145,6 +149,13 @@
         if self.waiting.pop(call, None):
             self.engine_task.submit(CallerGone(call))
 
+    def _refuse_stopped(self, request: Any) -> bytes:
+        """Refuse a call on a connection that outlived the engine."""
+        self.metrics.count_outcome(Outcome.NOT_RUN)
+        self.metrics.count_refusal(Reason.DRAINING)
+        reply = caller_reply.rejected(Outcome.NOT_RUN, Reason.DRAINING, 0)
+        return _write(request, reply)
+
     def _refuse(
         self, request: Any, fault: caller_request.RequestFault
     ) -> bytes:
@@ -161,6 +172,7 @@
 
 
 def _check(request: Any, service: str) -> _Checked:
+    """Check everything that needs no knowledge of the cluster."""
     if request.too_large:
         limit = request.channel.factory.max_body_bytes
         text = f'the body exceeds {limit} bytes'
--- a/packages/node/bilberryrail/node/log_client.py
+++ b/packages/node/bilberryrail/node/log_client.py
@@ -57,7 +57,13 @@
 
 
 class LogClient:
-    """Carries out reads and appends, each exactly once."""
+    """Carries out reads and appends, each exactly once.
+
+    Attributes
+    ----------
+    appending
+        Number of appends without an answer.
+    """
 
     def __init__(self, engine_task: EngineTask, settings: LogSettings) -> None:
         self.engine_task = engine_task
@@ -66,6 +72,7 @@
         base_url = settings.url.rstrip('/')
         self.url = f'{base_url}/v1/streams/{stream}/records'
         self.http = PooledClient(engine_task.reactor, settings.timeout_s)
+        self.appending = 0
 
     def read(self, action: ReadLog) -> None:
         """Read from an offset on, and report what came of it."""
@@ -92,6 +99,7 @@
 
     def append(self, record: Record) -> None:
         """Append a record once; without an answer it may be stored or not."""
+        self.appending += 1
         response = self.http.request(
             'POST',
             self.url,
@@ -110,7 +118,11 @@
                 _describe(failure),
             ),
         )
-        response.addCallback(self.engine_task.submit)
+        response.addCallback(self._appended)
+
+    def _appended(self, event: AppendAcknowledged | AppendUncertain) -> None:
+        self.appending -= 1
+        self.engine_task.submit(event)
 
 
 def _whole(response: Any) -> Any:
--- a/packages/node/bilberryrail/node/main_test.py
+++ b/packages/node/bilberryrail/node/main_test.py
@@ -1,9 +1,14 @@
 """Tests of the command line and of log lines."""
 
 import json
+import signal
+import subprocess
+import sys
 
+import msgspec
 from typer.testing import CliRunner
 
+from bilberryrail.bench.shell_harness import node_settings
 from bilberryrail.node import logs, main
 from bilberryrail.settings.reading_test import settings
 
@@ -23,6 +28,39 @@
     assert "did you mean 'operator_port'?" in invalid.output
 
 
+#: Starts the command line with an engine that decides nothing.
+PROGRAM = """
+from bilberryrail.bench.scripted_engine import ScriptedEngine
+from bilberryrail.policy import engine
+engine.NodeEngine = lambda settings, random: ScriptedEngine(
+    settings.identity, settings.identity.node)
+from bilberryrail.node.main import run
+run()
+"""
+
+
+def start(path):
+    return subprocess.Popen(
+        [sys.executable, '-c', PROGRAM, str(path)],
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def test_sigterm_ends_a_process_with_status_0(tmp_path):
+    """Guards against a shutdown that looks like a crash, or never ends."""
+    path = tmp_path / 'node.json'
+    path.write_bytes(msgspec.json.encode(node_settings('n1')))
+    process = start(path)
+    lines = iter(process.stderr.readline, '')
+    assert any('phase=serving' in line for line in lines)
+    second = start(path)
+    assert second.wait(timeout=20) == 1
+    assert 'cannot listen' in second.stderr.read()
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(timeout=20) == 0
+
+
 def test_log_values_are_quoted_when_needed():
     """Guards against a value that looks like another key or line."""
     fields = {'node': 'n1', 'reason': 'a b="c"\n', 'empty': ''}
--- a/packages/node/bilberryrail/node/peer_dialer.py
+++ b/packages/node/bilberryrail/node/peer_dialer.py
@@ -6,6 +6,7 @@
 
 from grpclib.client import Channel
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
+from h2.exceptions import StreamClosedError
 
 from bilberryrail.control.messages import LinkDown, OpenLink
 from bilberryrail.core.ids import NodeId
@@ -19,6 +20,8 @@
 
 #: Time to connect and to exchange Hello; far above a round trip of 60 ms.
 HELLO_TIMEOUT_S: Final = 2.0
+#: Longest wait for a peer to read the last frames of a link.
+END_TIMEOUT_S: Final = 1.0
 #: First and longest wait before a link that must stay open is opened again.
 FIRST_RETRY_S: Final = 0.1
 LONGEST_RETRY_S: Final = 5.0
@@ -41,6 +44,8 @@
         Addresses of links that the engine asked to keep open.
     dialing
         Tasks by the address that they connect to.
+    ending
+        Number of streams whose last frames the peer is reading.
     """
 
     def __init__(self, engine_task: EngineTask, links: PeerLinks) -> None:
@@ -48,6 +53,7 @@
         self.links = links
         self.wanted: dict[NodeId, Address] = {}
         self.dialing: dict[Address, asyncio.Task[None]] = {}
+        self.ending = 0
         links.dialer = self
 
     def keep_open(self, action: OpenLink) -> None:
@@ -76,6 +82,8 @@
         """Give up all connections."""
         self.wanted.clear()
         tasks = tuple(self.dialing.values())
+        if self.ending:
+            await asyncio.wait(tasks, timeout=END_TIMEOUT_S)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -136,11 +144,28 @@
             with contextlib.ExitStack() as stack:
                 stack.callback(watch.cancel)
                 await self.links.serve(stream, member)
-            # The peer may have ended or reset the stream already.
-            with contextlib.suppress(ProtocolError, StreamTerminatedError):
-                await stream.cancel()
+            self.ending += 1
+            await self._end(stream)
+            self.ending -= 1
         return True
 
+    async def _end(self, stream: Any) -> None:
+        """Close a stream after the peer has read everything.
+
+        A reset would make the peer drop answers that it has not read yet.
+        """
+        # The peer may have ended or reset the stream already.
+        with contextlib.suppress(
+            ProtocolError,
+            StreamTerminatedError,
+            StreamClosedError,
+            asyncio.TimeoutError,
+        ):
+            await asyncio.wait_for(_read_out(stream), END_TIMEOUT_S)
+            return
+        with contextlib.suppress(ProtocolError, StreamTerminatedError):
+            await stream.cancel()
+
     async def _greet(self, stream: Any, peer: NodeId | None) -> Member:
         await stream.send_message(self.links.hello())
         hello = frames.decode_hello(await stream.recv_message())
@@ -162,3 +187,11 @@
 
     def _is_needless(self, link: PeerLink) -> bool:
         return link.member.node not in self.wanted and link.open_attempts <= 0
+
+
+async def _read_out(stream: Any) -> None:
+    """End the sending side, then read until the peer ends its own."""
+    await stream.end()
+    has_ended = False
+    while not has_ended:
+        has_ended = await stream.recv_message() is None
--- a/packages/node/bilberryrail/node/process.py
+++ b/packages/node/bilberryrail/node/process.py
@@ -27,7 +27,7 @@
 CATCH_UP_CHECK_S: Final = 0.05
 #: Connections that wait to be accepted; a burst of callers arrives at once.
 BACKLOG: Final = 1024
-#: Longest wait for links to write what is queued.
+#: Longest wait for links and appends to write what is queued.
 LINK_FLUSH_S: Final = 2.0
 #: Interval at which closing looks whether everything is written.
 FLUSH_CHECK_S: Final = 0.01
@@ -58,6 +58,7 @@
         self.dialer = PeerDialer(self.engine_task, self.links)
         self.callers = CallerServer(self.engine_task)
         self.backend = BackendClient(self.engine_task, settings)
+        self.log = LogClient(self.engine_task, settings.log)
         self.peer_server = PeerServer(self.links, engine.identity)
         self.caller_site = BoundedSite(
             self.callers.app.resource(),
@@ -87,7 +88,7 @@
                 links=self.links,
                 dialer=self.dialer,
                 backend=self.backend,
-                log=LogClient(self.engine_task, self.settings.log),
+                log=self.log,
                 lifecycle=self.lifecycle,
             ),
         )
@@ -100,7 +101,7 @@
         await asyncio.gather(*stopping)
         self.links.finish_all()
         ends_at = self.reactor.seconds() + LINK_FLUSH_S
-        while self.links.links and self.reactor.seconds() < ends_at:
+        while self._is_writing() and self.reactor.seconds() < ends_at:
             await asyncio.sleep(FLUSH_CHECK_S)
         await self.dialer.stop()
         await self.peer_server.stop()
@@ -109,6 +110,10 @@
         if not self.finished.done():
             self.finished.set_result(None)
 
+    def _is_writing(self) -> bool:
+        """Tell whether links or appends, such as Leave, are unfinished."""
+        return bool(self.links.links) or self.log.appending > 0
+
     async def _listen(self, host: str, port: int, site: BoundedSite) -> None:
         endpoint = TCP4ServerEndpoint(self.reactor, port, BACKLOG, host)
         self.ports.append(await _as_future(endpoint.listen(site)))
--- a/packages/node/bilberryrail/node/process_test.py
+++ b/packages/node/bilberryrail/node/process_test.py
@@ -58,6 +58,35 @@
     await target.process.finished
 
 
+async def test_drained_dialer_delivers_its_last_answer(
+    ingress,
+    target,
+    client,
+    until,
+):
+    """Guards against closing a link before its last answer is written."""
+    target.engine.target = 'n1'
+    back = RawClient(target.callers_port)
+    assert (await back.ask(request_bytes(CALLS, TENANT))).status == 200
+    await client.send(request_bytes(f'{CALLS}/hang', TENANT, b'x' * 900))
+    await until(lambda: target.backend.requests)
+    assert target.process.dialer.dialing
+    target.process.lifecycle.terminate()
+    target.backend.released.set()
+    answer = await client.ask(b'')
+    assert (answer.status, answer.body) == (200, b'x' * 900)
+    await target.process.finished
+
+
+async def test_calls_after_the_engine_stopped_are_refused(shell):
+    """Guards against a connection that outlives the engine and hangs."""
+    shell.process.engine_task.stop()
+    client = RawClient(shell.callers_port)
+    answer = await client.ask(request_bytes(CALLS, TENANT))
+    assert answer.status == 503
+    assert answer.headers['bilberryrail-reason'] == 'draining'
+
+
 async def test_waiting_input_is_read_before_input_drained(shell, until):
     """Guards against admitting calls before their cancellations are read."""
     clients = [RawClient(shell.callers_port) for _ in range(20)]
--- a/packages/node/bilberryrail/node/serve.py
+++ b/packages/node/bilberryrail/node/serve.py
@@ -1,6 +1,7 @@
 """Runs a node until it is told to shut down and has drained."""
 
 import asyncio
+import gc
 import random
 import signal
 from typing import Any
@@ -18,4 +19,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, process.lifecycle.terminate)
     await process.start()
+    # Objects made at start live as long as the process; scanning them again in
+    # every collection would add pauses of several ms to calls.
+    gc.collect()
+    gc.freeze()
     await process.finished
--- a/packages/policy/bilberryrail/policy/parts.py
+++ b/packages/policy/bilberryrail/policy/parts.py
@@ -71,6 +71,7 @@
     plane: Plane
     target: Target
     ingress: IngressRole
+    incarnation: Incarnation = Incarnation(0)
 
 
 def default_parts(settings: EngineSettings, random: Random) -> EngineParts:
@@ -98,4 +99,5 @@
             ledger,
             reservations.token_target,
         ),
+        incarnation=incarnation,
     )
