Try writes before the selector; refuse calls while a link is down

Cause: every write registered and unregistered its descriptor with the selector.

Change: NodeReactor writes in the next loop turn and asks the selector only for what remains. The dialer refuses as not run while it waits after a failure. Metrics show the callers in flight and the target's load for local calls too.

--- a/packages/node/bilberryrail/node/caller_server.py
+++ b/packages/node/bilberryrail/node/caller_server.py
@@ -39,6 +39,7 @@
         self.metrics = engine_task.metrics
         self.waiting: dict[CallId, tuple[Any, Deferred[bytes]]] = {}
         self.ids = itertools.count(1)
+        self.metrics.waiting_callers = self.waiting.__len__
 
     @app.route('/v1/services/<service>/calls', methods=['POST'])
     @app.route('/v1/services/<service>/calls/<path:_suffix>', methods=['POST'])
--- a/packages/node/bilberryrail/node/executor.py
+++ b/packages/node/bilberryrail/node/executor.py
@@ -93,6 +93,8 @@
         if payload is None and _needs_payload(action):
             # The caller is gone, or the answer was dropped.
             return
+        if isinstance(action, actions.SendAnswer | actions.SendProbeReply):
+            self.engine_task.metrics.count_load(action.load)
         if action.peer == self.engine_task.engine.identity.node:
             self._send_to_self(action, payload)
             return
@@ -116,7 +118,6 @@
             case actions.SendAttempt():
                 return encoding.request_frame(action, payload)
             case actions.SendAnswer() | actions.SendKeptAnswer():
-                self.engine_task.metrics.count_load(action.load)
                 return encoding.answer_frame(action, payload)
         incarnation = self.engine_task.engine.incarnation
         return encoding.plain_frame(action, incarnation)
--- a/packages/node/bilberryrail/node/metrics.py
+++ b/packages/node/bilberryrail/node/metrics.py
@@ -3,6 +3,7 @@
 No metric has a label for the tenant: the number of tenants is not bounded.
 """
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Final
 
@@ -37,10 +38,17 @@
 
 
 class Metrics:
-    """Collectors of one node, in a registry of its own."""
+    """Collectors of one node, in a registry of its own.
+
+    Attributes
+    ----------
+    waiting_callers
+        Counts the callers without a final response.
+    """
 
     def __init__(self) -> None:
         self.registry = Registry()
+        self.waiting_callers: Callable[[], int] = int
         self.calls = self._counter('calls_total', 'Calls by outcome.')
         self.refusals = self._counter('refusals_total', 'Refusals by reason.')
         self.probes = self._counter('probes_total', 'Probes by direction.')
@@ -89,6 +97,7 @@
 
     def render(self) -> bytes:
         """Write all metrics as text."""
+        self.in_flight.set({'role': 'ingress'}, self.waiting_callers())
         rendered, _ = render(self.registry, ['text/plain'])
         return rendered
 
--- a/packages/node/bilberryrail/node/peer_dialer.py
+++ b/packages/node/bilberryrail/node/peer_dialer.py
@@ -44,6 +44,11 @@
         Addresses of links that the engine asked to keep open.
     dialing
         Tasks by the address that they connect to.
+    failing
+        Addresses that wait for their next try after a failure.
+    resting
+        Addresses whose node has a link that it opened itself; the event ends
+        the wait.
     ending
         Number of streams whose last frames the peer is reading.
     """
@@ -54,6 +59,8 @@
         self.wanted: dict[NodeId, Address] = {}
         self.dialing: dict[Address, asyncio.Task[None]] = {}
         self.ending = 0
+        self.failing: set[Address] = set()
+        self.resting: dict[Address, asyncio.Event] = {}
         links.dialer = self
 
     def keep_open(self, action: OpenLink) -> None:
@@ -73,8 +80,11 @@
     def dial_member(self, peer: NodeId) -> bool:
         """Open a link on demand to a member of the replayed state."""
         address = self.wanted.get(peer) or self._address_of(peer)
-        if address is None:
+        if address is None or address in self.failing:
             return False
+        resting = self.resting.get(address)
+        if resting is not None:
+            resting.set()
         self._dial(address, peer)
         return True
 
@@ -105,6 +115,7 @@
 
     def _done(self, address: Address, peer: NodeId | None) -> None:
         self.dialing.pop(address, None)
+        self.failing.discard(address)
         if peer is not None and not self.links.is_open(peer):
             self.links.refuse_held(peer)
 
@@ -115,10 +126,18 @@
             if peer is None or self.wanted.get(peer) != address:
                 return
             delay = FIRST_RETRY_S if served else delay * 2
+            self.failing.add(address)
             await asyncio.sleep(min(delay, LONGEST_RETRY_S))
-            while self.links.is_open(peer):
-                # The peer has opened a link, which serves both directions.
-                await asyncio.sleep(LONGEST_RETRY_S)
+            self.failing.discard(address)
+            await self._rest(address, peer)
+
+    async def _rest(self, address: Address, peer: NodeId) -> None:
+        """Wait while a link that the peer opened serves both directions."""
+        self.resting[address] = needed = asyncio.Event()
+        while self.links.is_open(peer) and not needed.is_set():
+            with contextlib.suppress(asyncio.TimeoutError):
+                await asyncio.wait_for(needed.wait(), LONGEST_RETRY_S)
+        self.resting.pop(address)
 
     async def _connect(self, address: Address, peer: NodeId | None) -> bool:
         channel = Channel(*address)
--- a/packages/node/bilberryrail/node/peer_links_test.py
+++ b/packages/node/bilberryrail/node/peer_links_test.py
@@ -11,7 +11,7 @@
     node_settings,
     start_shell,
 )
-from bilberryrail.control.messages import LinkDown, LinkUp
+from bilberryrail.control.messages import LinkDown, LinkUp, OpenLink
 from bilberryrail.core.load import Outcome, Reason
 from bilberryrail.core.records import Member
 from bilberryrail.policy import actions, events
@@ -126,3 +126,22 @@
     answer = await client.ask(request_bytes(path, TENANT))
     assert answer.headers['bilberryrail-outcome'] == 'not-run'
     assert answer.headers['bilberryrail-reason'] == 'link-lost'
+
+
+async def test_kept_link_comes_back(shell, until):
+    """Guards against a link that stays down, and calls held meanwhile."""
+    settings = node_settings('n2')
+    identity = settings.engine.identity
+    action = OpenLink('n2', identity.host, identity.port)
+    shell.process.dialer.keep_open(action)
+    await until(lambda: shell.engine.seen(LinkDown))
+    shell.engine.target = 'n2'
+    client = RawClient(shell.callers_port)
+    path = '/v1/services/bookings/calls'
+    answer = await client.ask(request_bytes(path, TENANT))
+    assert answer.headers['bilberryrail-outcome'] == 'not-run'
+    other = await start_shell(settings, reactor, 'n2')
+    await until(lambda: shell.engine.seen(LinkUp))
+    answer = await client.ask(request_bytes(path, TENANT))
+    assert answer.status == 200
+    await other.close()
--- a/packages/node/bilberryrail/node/process_test.py
+++ b/packages/node/bilberryrail/node/process_test.py
@@ -165,6 +165,8 @@
     text = (await client.streams[0].read()).decode()
     assert 'bilberryrail_calls_total{outcome="completed"} 1' in text
     assert 'bilberryrail_step_seconds_count{step="decide"} 1' in text
+    assert 'bilberryrail_in_flight{role="ingress"} 0' in text
+    assert 'bilberryrail_limit 4' in text
     assert 'club' not in text
 
 
--- a/packages/node/bilberryrail/node/reactor.py
+++ b/packages/node/bilberryrail/node/reactor.py
@@ -5,28 +5,61 @@
 """
 
 import asyncio
+from typing import Any
 
 from twisted.internet.asyncioreactor import AsyncioSelectorReactor
 from twisted.internet.main import installReactor
 
 
-class MonotonicReactor(AsyncioSelectorReactor):
-    """An asyncio reactor whose ``seconds`` never jump with the wall clock.
+class NodeReactor(AsyncioSelectorReactor):
+    """An asyncio reactor with a monotonic clock and early writes.
 
     Twisted's own ``seconds`` is ``time.time``; a correction of the host's
     clock would look like a pause of the process.
+
+    Twisted registers a descriptor with the selector for each write, and
+    unregisters it right after. Here the write is tried first, in the next turn
+    of the loop, and only what does not fit into the socket's buffer waits for
+    the selector.
+
+    Attributes
+    ----------
+    writing_soon
+        Descriptors whose first write is due in the next turn.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         # Set first: the base class asks for the time while it starts.
         self.seconds = loop.time
+        self.loop = loop
+        self.writing_soon: set[Any] = set()
         super().__init__(loop)
 
+    def addWriter(self, writer: Any) -> None:  # noqa: N802
+        """Write in the next turn of the loop."""
+        if writer not in self.writing_soon and writer not in self._writers:
+            self.writing_soon.add(writer)
+            self.loop.call_soon(self._write_soon, writer)
+
+    def removeWriter(self, writer: Any) -> None:  # noqa: N802
+        """Stop writing."""
+        self.writing_soon.discard(writer)
+        super().removeWriter(writer)
+
+    def _write_soon(self, writer: Any) -> None:
+        if writer not in self.writing_soon:
+            return
+        self._readOrWrite(writer, read=False)
+        # A descriptor that has written everything has removed itself.
+        if writer in self.writing_soon:
+            self.writing_soon.discard(writer)
+            AsyncioSelectorReactor.addWriter(self, writer)
+
 
-def install() -> MonotonicReactor:
+def install() -> NodeReactor:
     """Create an event loop and make its reactor the process's reactor."""
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
-    reactor = MonotonicReactor(loop)
+    reactor = NodeReactor(loop)
     installReactor(reactor)
     return reactor
