Clamp negative retry times before they reach the wire

Cause: a negative time is refused by the decoder and would end the link. Change: encoding clamps at zero. Before and after: wire tests pass.

--- a/packages/wire/bilberryrail/wire/encoding.py
+++ b/packages/wire/bilberryrail/wire/encoding.py
@@ -148,7 +148,7 @@
             attempt=action.attempt,
             outcome=action.outcome.value,
             reason=action.reason.value,
-            retry_after_s=action.retry_after_s,
+            retry_after_s=max(action.retry_after_s, 0),
             load=parts.load_to_wire(action.load),
         ),
     )
