Do not close a connection that went back into the pool

Cause: an answer above the limit closed its connection although the body had ended in the same read, so the pool gave a closing connection to the next call.

--- a/packages/node/bilberryrail/node/http_body.py
+++ b/packages/node/bilberryrail/node/http_body.py
@@ -4,6 +4,7 @@
 open, so a cancelled call would go on at the server.
 """
 
+import asyncio
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -22,6 +23,7 @@
     def __init__(self, limit: int) -> None:
         self.limit = limit
         self.size = 0
+        self.has_ended = False
         self.chunks: list[bytes] = []
         self.finished: Deferred[bytes] = Deferred(self._cancel)
 
@@ -35,6 +37,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Check that the end is the stated one."""
+        self.has_ended = True
         if self.finished.called:
             return
         if reason.check(ResponseDone):
@@ -50,6 +53,15 @@
     def _fail(self, error: BodyError) -> None:
         if not self.finished.called:
             self.finished.errback(Failure(error))
+            asyncio.get_running_loop().call_soon(self._close_unfinished)
+
+    def _close_unfinished(self) -> None:
+        """Close the connection of a body that goes on.
+
+        A body that ended in the same read has put its connection back into
+        the pool, where the next call would find it closing.
+        """
+        if not self.has_ended:
             self.transport.loseConnection()
 
 
--- a/packages/policy/bilberryrail/policy/engine.py
+++ b/packages/policy/bilberryrail/policy/engine.py
@@ -8,8 +8,7 @@
 from random import Random
 
 from bilberryrail.control import messages
-from bilberryrail.control.settings import NodeIdentity
-from bilberryrail.core.ids import Incarnation, Seconds
+from bilberryrail.core.ids import Seconds
 from bilberryrail.core.load import Outcome, Reason
 from bilberryrail.policy import events
 from bilberryrail.policy.actions import (
@@ -22,7 +21,7 @@
 )
 from bilberryrail.policy.holding import HoldingArea, NewWork
 from bilberryrail.policy.intake import RETRY_AFTER_S
-from bilberryrail.policy.parts import EngineParts, Plane, default_parts
+from bilberryrail.policy.parts import EngineParts, default_parts
 from bilberryrail.policy.pause import PauseGuard
 from bilberryrail.policy.settings import EngineSettings
 from bilberryrail.policy.view import ClusterView
@@ -67,21 +66,6 @@
         self._version = self.parts.plane.version
         self._handled_at = Seconds(0)
 
-    @property
-    def plane(self) -> Plane:
-        """Control plane, which answers operators."""
-        return self.parts.plane
-
-    @property
-    def identity(self) -> NodeIdentity:
-        """Who and where this node is."""
-        return self.settings.identity
-
-    @property
-    def incarnation(self) -> Incarnation:
-        """Number drawn at this start of the node."""
-        return self.parts.incarnation
-
     @property
     def wakeup_at(self) -> Seconds:
         """When ``Tick`` is to be handled at the latest."""
--- a/packages/policy/bilberryrail/policy/parts.py
+++ b/packages/policy/bilberryrail/policy/parts.py
@@ -75,7 +75,6 @@
     plane: Plane
     target: Target
     ingress: IngressRole
-    incarnation: Incarnation = Incarnation(0)
 
 
 def default_parts(settings: EngineSettings, random: Random) -> EngineParts:
@@ -104,5 +103,4 @@
             ledger,
             tokens.token_target,
         ),
-        incarnation=incarnation,
     )
