--- a/packages/node/bilberryrail/node/main.py
+++ b/packages/node/bilberryrail/node/main.py
@@ -6,7 +6,7 @@
 from typing import Annotated, Final
 
 import typer
-from absl import logging
+from absl import flags, logging
 from twisted.internet.error import CannotListenError
 
 from bilberryrail.node import logs, reactor
@@ -43,6 +43,8 @@
 
 
 def _serve(settings: NodeSettings) -> None:
+    # absl warns about every line until its own flags are parsed.
+    flags.FLAGS(['bilberryrail-node'])
     logging.use_absl_handler()
     logs.set_level(settings.log_level)
     loop_reactor = reactor.install()
