Run the whole path: demo waits for members; add the proofs package

Cause: the demo made its first plan before any node had joined, and the plan rightly said that no capacity remained.

Change: status tells the number of members; the demo waits until all have joined. A package for the proofs.

--- a/packages/node/bilberryrail/node/operator_status.py
+++ b/packages/node/bilberryrail/node/operator_status.py
@@ -22,6 +22,7 @@
         'node': node,
         'applied': state.offset,
         'log': 'up' if plane.log_available else 'down',
+        'members': len(state.members),
         'zones': {
             name: _zone(zone, report, expected[name])
             for name, zone in state.zones.items()
--- /dev/null
+++ b/packages/proofs/bilberryrail/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Checkers, fault matrix and scenarios that prove the invariants."""
--- a/packages/standins/bilberryrail/standins/demo_system.py
+++ b/packages/standins/bilberryrail/standins/demo_system.py
@@ -2,6 +2,7 @@
 
 import subprocess
 import sys
+import time
 from dataclasses import dataclass
 
 import msgspec
@@ -20,6 +21,8 @@
 #: that leaves, so there are several.
 OPERATOR_ADDRESSES = 3
 COMMAND_TIMEOUT_S = 40
+JOIN_TIMEOUT_S = 20
+JOIN_POLL_S = 0.25
 
 
 class DemoError(Exception):
@@ -35,6 +38,12 @@
     max_cold_excess: int
 
 
+class MemberCount(msgspec.Struct):
+    """Members known to a node; other fields of its status are ignored."""
+
+    members: int
+
+
 @dataclass(frozen=True, slots=True)
 class System:
     """A running deployment."""
@@ -129,7 +138,12 @@
 
 
 def set_up(system: System) -> str:
-    """Confirm the first intent through the operators' command."""
+    """Confirm the first intent through the operators' command.
+
+    The plan counts the slots of announced members, so it is made when all
+    have joined.
+    """
+    _wait_for_members(system)
     intent = msgspec.json.encode(first_intent(system.plan.deployment))
     intent_path = system.children.write('intent.json', intent)
     plan_path = system.children.directory / 'plan.json'
@@ -137,6 +151,19 @@
     return printed + system.command('confirm', str(plan_path))
 
 
+def _wait_for_members(system: System) -> None:
+    wanted = len(system.plan.hosts)
+    give_up_at = time.monotonic() + JOIN_TIMEOUT_S
+    while True:
+        printed = system.command('status', '--json')
+        members = msgspec.json.decode(printed, type=MemberCount).members
+        if members == wanted:
+            return
+        if time.monotonic() > give_up_at:
+            raise DemoError(f'{members} of {wanted} nodes have joined')
+        time.sleep(JOIN_POLL_S)
+
+
 def _start_log(plan: DeploymentPlan, children: Children) -> None:
     port = plan.log_port
     module = 'bilberryrail.standins.log_service'
