Poll the log for 1 s at a time

Cause: with long polls of 10 s a node heard no current offset for longer than max_staleness_s (3 s) and refused calls as stale-view.

Change: read_wait_s is 1 s by default.

--- a/packages/settings/bilberryrail/settings/node.py
+++ b/packages/settings/bilberryrail/settings/node.py
@@ -30,7 +30,10 @@
     ----------
     timeout_s
         Time after which a request counts as failed; a long poll gets
-        ``read_wait_s`` in addition.
+        that time in addition.
+    read_wait_s
+        Length of a long poll; well below the engine's ``max_staleness_s``, so
+        that a log without news still states its newest offset in time.
     read_limit
         Records asked for in one read.
     """
@@ -38,7 +41,7 @@
     url: _Url
     stream: _Stream = 'bilberryrail'
     timeout_s: _Duration = 2.0
-    read_wait_s: _Duration = 10.0
+    read_wait_s: _Duration = 1.0
     read_limit: _Count = 500
 
 
