End the measurement's processes in every case

Cause: a caller that closed the output early left three processes behind. Change: shell_latency ends them from an exit stack.

--- a/packages/bench/bilberryrail/bench/shell_latency.py
+++ b/packages/bench/bilberryrail/bench/shell_latency.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 import subprocess
 import sys
 import time
@@ -38,9 +39,19 @@
 def measure(calls: int = 3000, rate: float = 200) -> None:
     """Print latencies in ms and the metrics of both nodes' steps."""
     layout = new_layout()
-    roles = [_start(role, layout) for role in Role]
-    time.sleep(START_S)
-    through, direct, metrics = asyncio.run(_measure(layout, calls, 1 / rate))
+    with contextlib.ExitStack() as stack:
+        for role in Role:
+            stack.callback(_end, _start(role, layout))
+        time.sleep(START_S)
+        measured = asyncio.run(_measure(layout, calls, 1 / rate))
+        _report(*measured)
+
+
+def _report(
+    through: list[float],
+    direct: list[float],
+    metrics: list[str],
+) -> None:
     _print('through two nodes', through)
     _print('direct', direct)
     _print('added', _added(through, direct))
@@ -48,9 +59,11 @@
         for line in text.splitlines():
             if '_step_seconds_sum' in line or '_step_seconds_count' in line:
                 typer.echo(f'{name} {line}')
-    for process in roles:
-        process.terminate()
-        process.wait()
+
+
+def _end(process: subprocess.Popen[bytes]) -> None:
+    process.terminate()
+    process.wait()
 
 
 def _start(role: Role, layout: Layout) -> subprocess.Popen[bytes]:
