Keep the offset of records that cannot be decoded

Cause: the log client dropped a record that it could not decode, so replay waited for its offset for ever; one malformed or newer record in the log would have stopped every later change on every node. The relay refused such a record as a malformed frame, with the same effect on subscribers.

Change: such a record becomes Unreadable with its bytes. Replay steps over it, and relays pass the bytes on, so that a node of a newer version can read it.

Before: the new replay test ended with "entry 1 does not follow -1". After: the change behind the unreadable record is accepted.

--- a/packages/control/bilberryrail/control/intake.py
+++ b/packages/control/bilberryrail/control/intake.py
@@ -13,6 +13,7 @@
     Leave,
     LogEntry,
     Member,
+    Unreadable,
 )
 
 
@@ -98,6 +99,8 @@
 
     def _note_applied(self, entry: LogEntry) -> None:
         record = entry.record
+        if isinstance(record, Unreadable):
+            return
         if record.record_id in self.parts.outbox.pending:
             self.parts.outbox.settle(record.record_id)
             self.parts.announcer.acknowledge(record.record_id, entry.offset)
--- a/packages/control/bilberryrail/control/replay.py
+++ b/packages/control/bilberryrail/control/replay.py
@@ -22,6 +22,7 @@
     ServiceEdit,
     SnapshotPart,
     TenantEdit,
+    Unreadable,
     Verdict,
 )
 
@@ -104,8 +105,8 @@
                 self._apply_leave(leave)
             case Evict() as evict:
                 self._apply_evict(evict)
-            case SnapshotPart():
-                # Replay goes on from the state that the snapshot repeats.
+            case SnapshotPart() | Unreadable():
+                # A snapshot repeats the state that replay already has.
                 return None
         return None
 
--- a/packages/control/bilberryrail/control/replay_test.py
+++ b/packages/control/bilberryrail/control/replay_test.py
@@ -20,6 +20,7 @@
     ServiceEdit,
     TenantConfig,
     TenantEdit,
+    Unreadable,
     Verdict,
 )
 
@@ -136,6 +137,14 @@
     assert state.members['n1'].member.incarnation == 2
 
 
+def test_unreadable_record_does_not_hold_up_the_log():
+    """One malformed record once stopped every later change, on every node."""
+    entries = log(Unreadable(b'\xc1'), change('a', 0, service_edit()))
+    state, outcomes = replay(EMPTY, entries)
+    assert outcomes[0].verdict is Verdict.ACCEPTED
+    assert state.offset == 1
+
+
 def test_gap_is_an_error():
     """A missing record would make this node differ from the others."""
     with pytest.raises(ValueError, match='does not follow'):
--- a/packages/core/bilberryrail/core/codec.py
+++ b/packages/core/bilberryrail/core/codec.py
@@ -60,6 +60,8 @@
 
 def encode_record(record: records.Record) -> bytes:
     """Encode a record for the log."""
+    if isinstance(record, records.Unreadable):
+        return record.payload
     body: Any = record
     if isinstance(record, records.Change):
         body = _ChangeBody(
@@ -79,6 +81,11 @@
         return Err(CodecError(reason=f'record cannot be decoded: {error}'))
 
 
+def read_record(encoded: bytes) -> records.Record:
+    """Decode a record; one that cannot be decoded is kept as it is."""
+    return decode_record(encoded).unwrap_or(records.Unreadable(encoded))
+
+
 def encode_state(state: records.ClusterState) -> bytes:
     """Encode a cluster state for a snapshot."""
     return _encoder.encode(state)
--- a/packages/core/bilberryrail/core/codec_test.py
+++ b/packages/core/bilberryrail/core/codec_test.py
@@ -72,6 +72,14 @@
     assert codec.decode_record(encoded).is_err()
 
 
+@given(st.binary(max_size=50))
+def test_unreadable_record_is_kept_as_it_is(encoded):
+    """A relay that dropped or altered it would hide it from newer nodes."""
+    record = codec.read_record(encoded)
+    if isinstance(record, records.Unreadable):
+        assert codec.encode_record(record) == encoded
+
+
 def test_unknown_kind_names_the_allowed_ones():
     """A record of a newer version is reported, not misread."""
     encoded = codec.encode_record(_RECORDS[1]).replace(b'join', b'jump')
--- a/packages/core/bilberryrail/core/records.py
+++ b/packages/core/bilberryrail/core/records.py
@@ -189,7 +189,18 @@
     payload: bytes
 
 
-Record = Change | Join | Leave | Evict | SnapshotPart
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """Bytes in the log that this version cannot decode; replay skips them.
+
+    They keep their offset, so that no reader waits for it, and are relayed as
+    they are, so that a node of another version can read them.
+    """
+
+    payload: bytes
+
+
+Record = Change | Join | Leave | Evict | SnapshotPart | Unreadable
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/node/bilberryrail/node/log_client.py
+++ b/packages/node/bilberryrail/node/log_client.py
@@ -15,9 +15,9 @@
     LogUnavailable,
     ReadLog,
 )
-from bilberryrail.core.codec import decode_record, encode_record
+from bilberryrail.core.codec import encode_record, read_record
 from bilberryrail.core.ids import Offset
-from bilberryrail.core.records import LogEntry, Record
+from bilberryrail.core.records import LogEntry, Record, Unreadable
 from bilberryrail.node import logs
 from bilberryrail.node.engine_task import EngineTask
 from bilberryrail.node.http_body import read_body
@@ -149,21 +149,17 @@
     if status != _OK:
         raise LogError(f'read was answered with status {status}')
     batch = msgspec.msgpack.decode(body, type=_Batch)
-    entries = (_entry(offset, raw) for offset, raw in batch.records)
     return LogRead(
-        entries=tuple(entry for entry in entries if entry is not None),
+        entries=tuple(_entry(offset, raw) for offset, raw in batch.records),
         end=Offset(batch.end),
     )
 
 
-def _entry(offset: int, raw: bytes) -> LogEntry | None:
-    """Decode a record; every reader skips one that cannot be decoded."""
-    decoded = decode_record(raw)
-    if decoded.is_err():
-        reason = decoded.unwrap_err().reason
-        logs.warning('record-skipped', offset=offset, reason=reason)
-        return None
-    return LogEntry(Offset(offset), decoded.unwrap())
+def _entry(offset: int, raw: bytes) -> LogEntry:
+    record = read_record(raw)
+    if isinstance(record, Unreadable):
+        logs.warning('record-unreadable', offset=offset, bytes=len(raw))
+    return LogEntry(Offset(offset), record)
 
 
 def _describe(failure: Failure) -> str:
--- a/packages/wire/bilberryrail/wire/parts.py
+++ b/packages/wire/bilberryrail/wire/parts.py
@@ -8,7 +8,7 @@
 from typing import Any, Final
 
 from bilberryrail.control.messages import StatusReport, ZoneStatus
-from bilberryrail.core.codec import decode_record, encode_record
+from bilberryrail.core.codec import encode_record, read_record
 from bilberryrail.core.ids import (
     AvailabilityZoneId,
     Incarnation,
@@ -132,11 +132,11 @@
 
 
 def entry_from_wire(found: peer_pb2.Entry) -> LogEntry:
-    """Decode a record with its offset."""
-    record = decode_record(found.record)
-    if record.is_err():
-        raise PartError(f'offset {found.offset}: {record.unwrap_err().reason}')
-    return LogEntry(offset=Offset(found.offset), record=record.unwrap())
+    """Decode a record with its offset; one that is unreadable stays so."""
+    return LogEntry(
+        offset=Offset(found.offset),
+        record=read_record(found.record),
+    )
 
 
 def report_to_wire(report: StatusReport) -> peer_pb2.StatusReport:
