Hedge only into spare slots, and retry server errors of idempotent calls

Cause: all calls refused at 95% load, and with a slow server, were of the idempotent service: hedges into full targets turned the load into an overload. Server errors of idempotent calls were passed on although the retry budget allowed another attempt.

Change: a hedge needs a target that reported less than 70% of its limit in use; a call whose target gives no sign of life is still sent elsewhere at once. An answer of 500 or above is replaced by another attempt if the budget allows. A target with limit 0 counts as the full deadline.

--- a/packages/policy/bilberryrail/policy/estimates.py
+++ b/packages/policy/bilberryrail/policy/estimates.py
@@ -23,6 +23,9 @@
 #: candidate that was full once would otherwise be avoided until it is probed.
 _REPORT_AGE_S: Final = 1.0
 _BACKOFF_FACTOR: Final = 2
+#: Share of a candidate's limit up to which it has slots to spare. Hedges
+#: into fuller ones turned 95% load into an overload (1% of calls refused).
+_SPARE_SHARE: Final = 0.7
 
 
 @dataclass(slots=True)
@@ -87,6 +90,9 @@
         if self.load is not None:
             limit, cold = self.load.limit, self.load.cold
             service_s = self.load.latency_s or service_s
+        if limit < 1:
+            # The target takes nothing until it has tried a call.
+            return deadline_s
         waiting = self.occupancy(now) + 1 - limit
         if cold and waiting > 0:
             return deadline_s
@@ -94,6 +100,13 @@
         answer_s = self.latency_s + queueing_s
         return answer_s + self.error_rate * max(0, deadline_s - answer_s)
 
+    def has_room(self, now: Seconds) -> bool:
+        """Tell whether the candidate said that it has slots to spare."""
+        if self.load is None or self._is_report_old(now):
+            return False
+        room = self.load.limit * _SPARE_SHARE
+        return not self.load.cold and self.occupancy(now) < room
+
     def _is_report_old(self, now: Seconds) -> bool:
         return self.heard_at is None or now - self.heard_at > _REPORT_AGE_S
 
--- a/packages/policy/bilberryrail/policy/ingress.py
+++ b/packages/policy/bilberryrail/policy/ingress.py
@@ -118,7 +118,7 @@
             case events.CallerGone():
                 self.life.end(event.call, None)
             case events.AnswerReceived():
-                self._answer(event, now)
+                self._answer(event, now, view)
             case events.RefusalReceived():
                 self._refuse(event, now, view)
             case events.ReservationGranted():
@@ -200,7 +200,12 @@
             return
         self.life.start(admitted.ok_value, now, view)
 
-    def _answer(self, event: events.AnswerReceived, now: Seconds) -> None:
+    def _answer(
+        self,
+        event: events.AnswerReceived,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
         attempt = self._find(event.peer, event.attempt)
         if attempt is not None:
             self.sender.answered(attempt, event.size, now)
@@ -211,6 +216,9 @@
             return
         call = attempt.call
         self.sender.release(attempt, ran=True)
+        is_error = event.status >= _SERVER_ERROR
+        if is_error and self.life.replace_error(call, now, view):
+            return
         self.life.end(
             call.call,
             CompleteCall(
--- a/packages/policy/bilberryrail/policy/lifecycle.py
+++ b/packages/policy/bilberryrail/policy/lifecycle.py
@@ -7,7 +7,8 @@
 from bilberryrail.policy.calls import Attempt, Call, Refusal
 from bilberryrail.policy.intake import RETRY_AFTER_S
 from bilberryrail.policy.retries import CallLedger
-from bilberryrail.policy.sending import FIRST, Sender
+from bilberryrail.policy.routing import Choice
+from bilberryrail.policy.sending import Sender, Trigger
 from bilberryrail.policy.view import ClusterView
 
 
@@ -28,7 +29,7 @@
         self.retries.call_started()
         choice = self.sender.choose(call, now, view)
         if choice is not None:
-            self.sender.place(call, choice, FIRST, now, view)
+            self.sender.place(call, choice, Trigger.FIRST, now, view)
         elif call.pinned is None:
             self.give_up(call, Reason.NO_TARGET)
         else:
@@ -53,11 +54,43 @@
         if not call.attempts and not self._retry(call, now, view):
             self.give_up(call, Reason.NO_TARGET)
 
-    def hedge(self, call: Call, now: Seconds, view: ClusterView) -> None:
-        """Send a slow call to a second target as well."""
+    def replace_error(
+        self,
+        call: Call,
+        now: Seconds,
+        view: ClusterView,
+    ) -> bool:
+        """Try a call again whose answer was a server error.
+
+        Returns
+        -------
+        bool
+            Whether another attempt may still bring a better answer; if not,
+            the caller gets the error.
+        """
+        call.may_have_run = True
+        return bool(call.attempts) or self._retry(call, now, view)
+
+    def hedge(
+        self,
+        call: Call,
+        now: Seconds,
+        view: ClusterView,
+        *,
+        is_silent: bool = False,
+    ) -> None:
+        """Send a slow call to a second target as well.
+
+        Parameters
+        ----------
+        is_silent
+            Whether the first target gives no sign of life. Otherwise the
+            second one must have slots to spare.
+        """
         if call.hedged or not call.repeatable or len(call.attempts) != 1:
             return
-        call.hedged = self._send_again(call, 'hedge', now, view)
+        trigger = Trigger.SILENCE if is_silent else Trigger.HEDGE
+        call.hedged = self._send_again(call, trigger, now, view)
 
     def leave_silent(
         self,
@@ -72,7 +105,7 @@
         for attempt in self.table.at_peer(peer):
             call = attempt.call
             if attempt.sent_at is not None:
-                self.hedge(call, now, view)
+                self.hedge(call, now, view, is_silent=True)
             elif self.sender.choose(call, now, view) is not None:
                 refusal = Refusal(
                     Outcome.NOT_RUN,
@@ -147,15 +180,18 @@
         """Write one log line."""
         self.sender.actions.append(LogEvent(name, fields))
 
+    def _has_room(self, choice: Choice, now: Seconds) -> bool:
+        return self.sender.book.of(choice.member.node).has_room(now)
+
     def _retry(self, call: Call, now: Seconds, view: ClusterView) -> bool:
         if call.may_have_run and not call.repeatable:
             return False
-        return self._send_again(call, 'retry', now, view)
+        return self._send_again(call, Trigger.RETRY, now, view)
 
     def _send_again(
         self,
         call: Call,
-        trigger: str,
+        trigger: Trigger,
         now: Seconds,
         view: ClusterView,
     ) -> bool:
@@ -169,6 +205,8 @@
         choice = self.sender.choose(call, now, view)
         if choice is None:
             return False
+        if trigger is Trigger.HEDGE and not self._has_room(choice, now):
+            return False
         if call.may_run and not self.retries.pay(call.budget, now):
             return False
         self.sender.place(call, choice, trigger, now, view)
--- a/packages/policy/bilberryrail/policy/sending.py
+++ b/packages/policy/bilberryrail/policy/sending.py
@@ -1,5 +1,6 @@
 """Sends attempts and probes of an ingress and keeps their books."""
 
+from enum import Enum
 from random import Random
 from typing import Final
 
@@ -35,11 +36,18 @@
 from bilberryrail.policy.settings import EngineSettings
 from bilberryrail.policy.view import ClusterView
 
-#: Trigger of the attempt that a call starts with.
-FIRST: Final = 'first'
 _MS_PER_S: Final = 1000
 
 
+class Trigger(Enum):
+    """Why an attempt is sent."""
+
+    FIRST = 'first'
+    RETRY = 'retry'
+    HEDGE = 'hedge'
+    SILENCE = 'silence'
+
+
 class Sender:
     """Places attempts with targets, over links that it has opened.
 
@@ -102,7 +110,7 @@
         self,
         call: Call,
         choice: Choice,
-        trigger: str,
+        trigger: Trigger,
         now: Seconds,
         view: ClusterView,
     ) -> None:
@@ -114,7 +122,7 @@
             call=call,
             member=member,
             share=self._share(call, now),
-            paid=trigger != FIRST and call.may_run,
+            paid=trigger is not Trigger.FIRST and call.may_run,
         )
         self._log_route(attempt, choice, trigger, now)
         self.table.add_attempt(attempt)
@@ -257,7 +265,7 @@
         self,
         attempt: Attempt,
         choice: Choice,
-        trigger: str,
+        trigger: Trigger,
         now: Seconds,
     ) -> None:
         """Log a routing decision; calls get here only in a home region."""
@@ -269,7 +277,7 @@
             'service': call.service.service,
             'tenant': call.tenant,
             'target': choice.member.node,
-            'trigger': trigger,
+            'trigger': trigger.value,
             'reason': choice.reason.value,
             'expected_ms': round(choice.expected_s * _MS_PER_S, 1),
             'latency_ms': round(estimate.latency_s * _MS_PER_S, 1),
