Keep callers of a tenant in its home regions

Cause: the load sent each call to a random node of any region. A node outside the tenant's home regions refuses the call as invalid, as it must.

Change: the load knows the region of each node, and a caller uses nodes of its tenant's home regions only. Any call that ends as invalid now fails the demo.

Latency is a separate matter.

--- a/packages/standins/bilberryrail/standins/caller_calls.py
+++ b/packages/standins/bilberryrail/standins/caller_calls.py
@@ -24,6 +24,7 @@
     CallResult,
     new_histogram,
 )
+from bilberryrail.standins.load_settings import LoadNode
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,14 +79,14 @@
     Attributes
     ----------
     nodes
-        Base URLs of nodes; each submission goes to a random one.
+        Nodes; each submission goes to a random one of the call's regions.
     reasons
         Count of every outcome and reason that was answered on the way.
     """
 
     def __init__(
         self,
-        nodes: tuple[str, ...],
+        nodes: tuple[LoadNode, ...],
         clock: IReactorTime,
         source: random.Random,
     ) -> None:
@@ -166,9 +167,9 @@
         headers = {'Bilberryrail-Tenant': call.tenant}
         if progress.token is not None:
             headers['Bilberryrail-Reservation'] = progress.token
-        node = self.random.choice(self.nodes)
+        node = self.random.choice(self._nodes_for(call))
         answer = await self.http.post(
-            f'{node}/v1/services/{call.service}/{kind}',
+            f'{node.url}/v1/services/{call.service}/{kind}',
             headers,
             msgspec.json.encode({'request': call.request}),
             call.deadline_s,
@@ -176,6 +177,13 @@
         self.reasons[_label(kind, answer)] += 1
         return answer
 
+    def _nodes_for(self, call: Call) -> tuple[LoadNode, ...]:
+        if not call.home_regions:
+            return self.nodes
+        return tuple(
+            node for node in self.nodes if node.region in call.home_regions
+        )
+
     def _note_refusal(self, refused: Refused, progress: Progress) -> None:
         progress.outcome = refused.outcome
         progress.wait_s = refused.retry_after_s
--- a/packages/standins/bilberryrail/standins/caller_report.py
+++ b/packages/standins/bilberryrail/standins/caller_report.py
@@ -82,11 +82,20 @@
         """Return the number of calls that ended as "not run"."""
         return self.outcomes.get('not-run', 0)
 
+    @property
+    def invalid(self) -> int:
+        """Return the number of calls that ended as "invalid"."""
+        return self.outcomes.get('invalid', 0)
+
     @property
     def has_violations(self) -> bool:
-        """Tell whether anything was lost, doubled, wrong or untrue."""
+        """Tell whether anything was lost, doubled, wrong or untrue.
+
+        An invalid call counts too, because the load sends only valid ones.
+        """
         violations = (
             self.lost,
+            self.invalid,
             self.missing,
             self.doubled,
             self.false_not_run,
--- a/packages/standins/bilberryrail/standins/caller_test.py
+++ b/packages/standins/bilberryrail/standins/caller_test.py
@@ -24,8 +24,16 @@
     new_histogram,
 )
 from bilberryrail.standins.load_run import arrivals
-from bilberryrail.standins.load_settings import LoadService, LoadSettings
+from bilberryrail.standins.load_settings import (
+    LoadNode,
+    LoadService,
+    LoadSettings,
+)
 
+NODES = (
+    LoadNode('http://node', 'ege'),
+    LoadNode('http://other', 'karadeniz'),
+)
 LIMITS = BackendLimits(slots=4, connections=10)
 NOT_RUN = Refused('not-run', 'overloaded', 0.2)
 UNKNOWN = Refused('unknown', 'link-lost', 0.1)
@@ -46,8 +54,10 @@
     def __init__(self, *script: Submission) -> None:
         self.script = list(script)
         self.seen: list[tuple[str, str | None]] = []
+        self.urls: list[str] = []
 
     async def post(self, url, headers, body, deadline_s) -> Submission:
+        self.urls.append(url)
         token = headers.get('Bilberryrail-Reservation')
         self.seen.append((url.rsplit('/', 1)[1], token))
         return self.script.pop(0)
@@ -55,7 +65,7 @@
 
 def run(node: ScriptedNode, *, idempotent: bool) -> CallResult:
     clock = Clock()
-    caller = Caller(('http://node',), clock, random.Random(2))
+    caller = Caller(NODES, clock, random.Random(2))
     caller.http = node
     call = Call('r1', 's', idempotent, 't', ('ege',), 1, 10)
     running = ensureDeferred(caller.run(call))
@@ -112,6 +122,13 @@
     assert run(ScriptedNode(answer), idempotent=True).wrong
 
 
+def test_callers_stay_in_their_home_regions():
+    """Guards against loads whose calls must be refused as invalid."""
+    node = ScriptedNode(*itertools.repeat(NOT_RUN, 60))
+    run(node, idempotent=True)
+    assert {url.split('/')[2] for url in node.urls} == {'node'}
+
+
 def test_report_compares_with_executions():
     """Guards against lost, doubled or untrue results that go uncounted."""
     calls = (
@@ -130,6 +147,8 @@
     assert report.has_violations
     clean = make_report(calls[:1], executions, new_histogram(), {})
     assert not clean.has_violations
+    refused = (CallResult('refused', True, 'invalid'),)
+    assert make_report(refused, {}, new_histogram(), {}).has_violations
 
 
 def test_arrivals_are_seeded():
--- a/packages/standins/bilberryrail/standins/demo.py
+++ b/packages/standins/bilberryrail/standins/demo.py
@@ -3,7 +3,8 @@
 Sets up a deployment on loopback, sends lookups and bookings, takes an
 availability zone out and brings it back while the load runs, drains every
 node, and prints what the callers saw. Ends with status 1 if a call was lost,
-executed twice, answered wrongly, or dispatched in the zone that was out.
+refused as invalid, executed twice, answered wrongly, or dispatched in the
+zone that was out.
 """
 
 import signal
@@ -121,6 +122,7 @@
         ('calls', load.calls),
         ('outcomes', outcomes),
         ('refused (not run)', load.refused),
+        ('refused as invalid', load.invalid),
         ('lost', load.lost),
         ('completed but not executed', load.missing),
         ('doubled', load.doubled),
--- a/packages/standins/bilberryrail/standins/demo_system.py
+++ b/packages/standins/bilberryrail/standins/demo_system.py
@@ -14,7 +14,11 @@
     node_settings,
 )
 from bilberryrail.standins.endpoint import Endpoint
-from bilberryrail.standins.load_settings import LoadService, LoadSettings
+from bilberryrail.standins.load_settings import (
+    LoadNode,
+    LoadService,
+    LoadSettings,
+)
 from bilberryrail.standins.processes import LOOPBACK, Child, Children
 
 #: Addresses given to the operators' command; one of them may be in a zone
@@ -107,7 +111,10 @@
         deployment = self.plan.deployment
         return LoadSettings(
             nodes=tuple(
-                f'http://{LOOPBACK}:{host.identity.http_port}'
+                LoadNode(
+                    f'http://{LOOPBACK}:{host.identity.http_port}',
+                    host.identity.region,
+                )
                 for host in self.plan.hosts
             ),
             backends=tuple(
--- a/packages/standins/bilberryrail/standins/load_settings.py
+++ b/packages/standins/bilberryrail/standins/load_settings.py
@@ -10,6 +10,13 @@
     idempotent: bool
 
 
+class LoadNode(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A node that callers use, and its region."""
+
+    url: str
+    region: str
+
+
 class LoadSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A load and the processes it talks to.
 
@@ -17,13 +24,15 @@
     ----------
     rate
         Mean number of calls per second, over all services.
-    nodes, backends
-        Base URLs of nodes and of backend servers.
+    nodes
+        Nodes; a tenant with home regions uses only those of its regions.
+    backends
+        Base URLs of backend servers.
     tenants
         Home regions of each tenant; empty allows every region.
     """
 
-    nodes: tuple[str, ...]
+    nodes: tuple[LoadNode, ...]
     backends: tuple[str, ...]
     services: tuple[LoadService, ...]
     tenants: dict[str, tuple[str, ...]]
