End long polls before a reader's view counts as stale

Cause: a reader waited up to 10 s for new records, and a quiet log answers a long poll only at its end. After 3 s without an answer the reader held its own view for stale and refused calls.

Change: a long poll lasts 1 s, and settings in which it lasts as long as max_staleness_s are refused.

--- a/packages/settings/bilberryrail/settings/node.py
+++ b/packages/settings/bilberryrail/settings/node.py
@@ -31,6 +31,10 @@
     timeout_s
         Time after which a request counts as failed; a long poll gets
         ``read_wait_s`` in addition.
+    read_wait_s
+        Longest wait of a long poll. It must stay below the engine's
+        ``max_staleness_s``: a quiet log answers only at its end, and a reader
+        refuses calls when it has not heard of a current offset for longer.
     read_limit
         Records asked for in one read.
     """
@@ -38,7 +42,7 @@
     url: _Url
     stream: _Stream = 'bilberryrail'
     timeout_s: _Duration = 2.0
-    read_wait_s: _Duration = 10.0
+    read_wait_s: _Duration = 1.0
     read_limit: _Count = 500
 
 
@@ -57,6 +61,11 @@
     ----------
     max_body_bytes
         Largest body of a call or an answer.
+
+    Raises
+    ------
+    ValueError
+        If a long poll may outlast ``max_staleness_s``.
     """
 
     engine: EngineSettings
@@ -69,3 +78,12 @@
         msgspec.Meta(ge=1, le=LARGEST_BODY_BYTES),
     ] = DEFAULT_BODY_BYTES
     log_level: _Level = 'info'
+
+    def __post_init__(self) -> None:
+        """Check what concerns two fields."""
+        staleness_s = self.engine.pause.max_staleness_s
+        if self.log.read_wait_s >= staleness_s:
+            raise ValueError(
+                f'log.read_wait_s must be below {staleness_s} s, '
+                'engine.pause.max_staleness_s',
+            )
--- a/packages/settings/bilberryrail/settings/reading_test.py
+++ b/packages/settings/bilberryrail/settings/reading_test.py
@@ -54,6 +54,11 @@
         (encoded(backend={'port': 'x'}), 'backend.port', 'int'),
         (encoded(backend={}), 'backend.port', 'missing'),
         (encoded(log={'url': 'ftp://x'}), 'log.url', 'https?'),
+        (
+            encoded(log={'url': 'http://log', 'read_wait_s': 3}),
+            '',
+            'below 3.0 s',
+        ),
         (
             encoded(
                 engine={'identity': dict(IDENTITY), 'relay': {'seads': []}}
