Announce an open link again when the engine asks for it

Cause: the control plane closes links that it no longer needs, and the ingress forgets them; the link itself stays open for a while. A later OpenLink found it open and did nothing, so the engine never got LinkUp. Calls to that peer waited until their deadline of 1 s and were then refused as not run.

Change: OpenLink of an open link submits LinkUp.

--- a/packages/node/bilberryrail/node/peer_dialer.py
+++ b/packages/node/bilberryrail/node/peer_dialer.py
@@ -8,7 +8,7 @@
 from grpclib.exceptions import ProtocolError, StreamTerminatedError
 from h2.exceptions import StreamClosedError
 
-from bilberryrail.control.messages import LinkDown, OpenLink
+from bilberryrail.control.messages import LinkDown, LinkUp, OpenLink
 from bilberryrail.core.ids import NodeId
 from bilberryrail.core.records import Member
 from bilberryrail.node import logs
@@ -68,6 +68,10 @@
         address = (action.host, action.port)
         self.wanted[action.peer] = address
         self._dial(address, action.peer)
+        member = self.links.member_of(action.peer)
+        if member is not None:
+            # The engine waits for LinkUp before it sends anything.
+            self.engine_task.submit(LinkUp(member))
 
     def release(self, peer: NodeId) -> None:
         """Let a link close when neither side has used it for a while."""
--- a/packages/node/bilberryrail/node/peer_links.py
+++ b/packages/node/bilberryrail/node/peer_links.py
@@ -67,6 +67,11 @@
         """Tell whether frames to a peer can be written now."""
         return bool(self.links.get(peer))
 
+    def member_of(self, peer: NodeId) -> Member | None:
+        """Return who is at the other end of an open link."""
+        links = self.links.get(peer)
+        return links[0].member if links else None
+
     def send(self, peer: NodeId, frame: peer_pb2.Frame, action: Any) -> None:
         """Send a frame, opening a link first if there is none."""
         self._note(frame, 'sent')
--- a/packages/node/bilberryrail/node/peer_links_test.py
+++ b/packages/node/bilberryrail/node/peer_links_test.py
@@ -145,3 +145,18 @@
     answer = await client.ask(request_bytes(path, TENANT))
     assert answer.status == 200
     await other.close()
+
+
+async def test_open_link_is_announced_to_an_engine_that_forgot_it(
+    shell,
+    stream,
+    until,
+):
+    """Guards against calls that wait for LinkUp of a link that is open."""
+    await greet(stream)
+    await until(lambda: shell.engine.seen(LinkUp))
+    shell.engine.scripts[events.ProbeReceived] = lambda _: (
+        OpenLink('peer', MEMBER.host, MEMBER.port),
+    )
+    shell.process.engine_task.submit(events.ProbeReceived('n1', 1))
+    assert [up.member.node for up in shell.engine.seen(LinkUp)] == ['peer'] * 2
