--- a/packages/policy/bilberryrail/policy/engine.py
+++ b/packages/policy/bilberryrail/policy/engine.py
@@ -216,16 +216,10 @@
         plane = self.parts.plane
         if not plane.caught_up:
             return Reason.CATCHING_UP
-        own = self.settings.identity.node
-        has_peers = any(
-            node != own
-            for members in (plane.state.members, plane.unlogged)
-            for node in members
-        )
         stale = self.guard.is_stale(
             now,
             plane.current_at,
-            has_peers=has_peers,
+            has_peers=self.view.has_peers,
         )
         return Reason.STALE_VIEW if stale else None
 
--- a/packages/policy/bilberryrail/policy/view.py
+++ b/packages/policy/bilberryrail/policy/view.py
@@ -33,6 +33,11 @@
         Members whose announcement could not yet be appended.
     leaving
         Members that said they are draining.
+
+    Attributes
+    ----------
+    has_peers
+        Whether any member besides this node is known.
     """
 
     def __init__(
@@ -50,6 +55,7 @@
             for node, announcement in state.members.items()
         }
         self._members.update(unlogged)
+        self.has_peers = any(node != identity.node for node in self._members)
         self._candidates = self._group_by_service()
 
     @property
