Take no summary of a former parent for a child's report

Cause: a summary that goes down the relay arrived at a node that had chosen another parent meanwhile, and was taken for the report of a child. Two such nodes reported each other's numbers back and forth for ever.

Change: only a node that comes later in the order by hash can be a child, as every parent comes before its children. This cannot form a cycle.

--- a/packages/control/bilberryrail/control/plane_test.py
+++ b/packages/control/bilberryrail/control/plane_test.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from bilberryrail.control import messages
+from bilberryrail.control.directory import hash_of
 from bilberryrail.control.settings import RelaySettings
 from bilberryrail.core.ids import Incarnation, NodeId, Offset
 from bilberryrail.core.records import (
@@ -62,6 +63,23 @@
         assert max(zone.age_s for zone in report.values()) < 10
 
 
+def test_summary_of_a_former_parent_is_no_report_of_a_child(network):
+    """Guards against two nodes that count each other's numbers for ever."""
+    last = max(_names(0, 20), key=hash_of)
+    plane = network.planes[last]
+    region = plane.parts.own.region
+    former = next(
+        node
+        for node, other in network.planes.items()
+        if other.parts.own.region == region
+        and node != last
+        and not plane.parts.sources.is_source(node)
+    )
+    report = network.planes[former].status(network.now)
+    network.give(last, messages.StatusReceived(former, report))
+    assert not plane.parts.board.children
+
+
 def test_reader_dies(network):
     """Guards against a region without a reader, and a dead member kept."""
     victim = network.readers()[0]
--- a/packages/control/bilberryrail/control/status_exchange.py
+++ b/packages/control/bilberryrail/control/status_exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from typing import Final
 
+from bilberryrail.control.directory import hash_of
 from bilberryrail.control.messages import SendStatus, StatusReport
 from bilberryrail.control.placement import Placement
 from bilberryrail.control.sources import Sources
@@ -48,7 +49,7 @@
             self.board.take_summary(without_region(report, region), now)
         elif self.sources.is_source(peer):
             self.board.set_summary(report, now)
-        else:
+        elif self._may_be_child(peer):
             self.board.take_child(peer, report, now)
 
     def send(self, applied: Offset, now: Seconds) -> Iterator[SendStatus]:
@@ -108,6 +109,16 @@
     def _own_region(self) -> RegionId:
         return self.board.identity.region
 
+    def _may_be_child(self, peer: NodeId) -> bool:
+        """Tell whether a peer comes after this node in the relay's order.
+
+        A summary from a former parent also arrives here. Taken for a child's
+        report, it would be reported back to that parent, and the two nodes
+        would count each other's numbers for ever.
+        """
+        own = self.board.identity.node
+        return (hash_of(own), own) < (hash_of(peer), peer)
+
     def _is_sibling(self, peer: NodeId) -> bool:
         is_reader = self.placement.is_reader
         return is_reader and self._reads(peer, self._own_region)
