Expect the shorter long poll in the test of the log client

Cause: the default of read_wait_s is now 1 s; the test names it in a request. Change: the expected request. It is as strict as before.

--- a/packages/node/bilberryrail/node/log_client_test.py
+++ b/packages/node/bilberryrail/node/log_client_test.py
@@ -76,7 +76,7 @@
     event, request = await ask(messages.ReadLog(3, wait=True), batch(*records))
     assert event == messages.LogRead((LogEntry(3, LEAVE),), 4)
     assert request.path == (
-        '/v1/streams/bilberryrail/records?start=3&limit=500&wait_ms=10000'
+        '/v1/streams/bilberryrail/records?start=3&limit=500&wait_ms=1000'
     )
 
 
