Refuse late calls for a while before a drained node closes

Cause: a node that was idle when it was told to drain closed its links within milliseconds. A call that a peer had sent before it read Draining was cut, and so was a request on a caller's idle connection.

Change: after the drain a node stays for 0.5 s, and up to 2 s while callers with idle connections are left, and refuses what arrives as not run. Its answers carry Connection: close from the start of the drain.

Replacing a node takes 0.5 to 2 s longer.

--- a/packages/node/bilberryrail/node/http_site.py
+++ b/packages/node/bilberryrail/node/http_site.py
@@ -28,6 +28,13 @@
             length = 0
         super().gotLength(length)
 
+    def write(self, data: bytes) -> None:
+        """Write a part of the answer; its headers go out with the first."""
+        if self.channel and self.channel.factory.is_closing:
+            self.setHeader('Connection', 'close')
+            self.channel.persistent = False
+        super().write(data)
+
     def handleContentChunk(self, chunk: bytes) -> None:  # noqa: N802
         """Store a part of the body unless it exceeds the limit."""
         self.received_bytes += len(chunk)
@@ -44,6 +51,12 @@
     ----------
     max_body_bytes
         Limit that ``BoundedRequest`` applies.
+
+    Attributes
+    ----------
+    is_closing
+        Whether each answer asks the client to open no more requests on its
+        connection, so that none is on its way when the site closes.
     """
 
     def __init__(self, resource: IResource, max_body_bytes: int) -> None:
@@ -55,6 +68,7 @@
         self.max_body_bytes = max_body_bytes
         self.channels: WeakSet[Any] = WeakSet()
         self.displayTracebacks = False
+        self.is_closing = False
 
     def log(self, request: Any) -> None:
         """Write no access log; decisions have log lines of their own."""
@@ -64,10 +78,12 @@
         for channel in tuple(self.channels):
             channel.loseConnection()
         ends_at = reactor.seconds() + FLUSH_LIMIT_S
-        while self._has_output() and reactor.seconds() < ends_at:
+        while self.has_connections and reactor.seconds() < ends_at:
             await asyncio.sleep(_FLUSH_CHECK_S)
 
-    def _has_output(self) -> bool:
+    @property
+    def has_connections(self) -> bool:
+        """Whether a client that sent a request is still connected."""
         return any(
             channel.transport is not None
             and getattr(channel.transport, 'connected', False)
--- a/packages/node/bilberryrail/node/process.py
+++ b/packages/node/bilberryrail/node/process.py
@@ -29,6 +29,12 @@
 BACKLOG: Final = 1024
 #: Longest wait for links and appends to write what is queued.
 LINK_FLUSH_S: Final = 2.0
+#: Least time between the end of a drain and closing. Calls that peers sent
+#: before they read Draining arrive within it and are refused as not run; it
+#: exceeds several round trips of 60 ms between regions.
+LEAST_LINGER_S: Final = 0.5
+#: Longest wait for callers with idle connections to leave.
+MOST_LINGER_S: Final = 2.0
 #: Interval at which closing looks whether everything is written.
 FLUSH_CHECK_S: Final = 0.01
 
@@ -110,6 +116,21 @@
         if not self.finished.done():
             self.finished.set_result(None)
 
+    async def _leave(self) -> None:
+        """Refuse what is still on its way to this node, then close."""
+        started_at = self.reactor.seconds()
+        while self._lingers(self.reactor.seconds() - started_at):
+            await asyncio.sleep(FLUSH_CHECK_S)
+        await self.close()
+
+    def _lingers(self, waited_s: float) -> bool:
+        if not self.caller_site.is_closing:
+            # The process was ended before it accepted any call.
+            return False
+        if waited_s < LEAST_LINGER_S:
+            return True
+        return waited_s < MOST_LINGER_S and self.caller_site.has_connections
+
     def _is_writing(self) -> bool:
         """Tell whether links or appends, such as Leave, are unfinished."""
         return bool(self.links.links) or self.log.appending > 0
@@ -127,10 +148,11 @@
             self.reactor.callLater(CATCH_UP_CHECK_S, self._check_caught_up)
 
     def _drain(self) -> None:
+        self.caller_site.is_closing = True
         self.engine_task.submit(DrainRequested())
 
     def _shut_down(self) -> None:
-        closing = asyncio.ensure_future(self.close())
+        closing = asyncio.ensure_future(self._leave())
         closing.add_done_callback(_report_failure)
 
 
