Replace every node under load in the demo

Cause: the demo drained its nodes only after the load had ended, so a shutdown that cuts calls went unnoticed. Its ports came from the range of outgoing connections, and one start failed because a port was taken.

Change: after the zone is back the demo replaces node after node under load. A submission without a whole answer, or with an unknown outcome, counts as cut and fails the demo. A load runs until SIGTERM. Ports come from below the range of outgoing connections.

--- a/packages/standins/bilberryrail/standins/caller_calls.py
+++ b/packages/standins/bilberryrail/standins/caller_calls.py
@@ -57,11 +57,14 @@
     may_have_run
         Whether a submission of the current token, or any lookup, got an
         answer other than a true "not run".
+    cut
+        Whether a submission got no whole answer or an unknown outcome.
     """
 
     outcome: str = 'lost'
     final: bool = False
     may_have_run: bool = False
+    cut: bool = False
     wrong: bool = False
     token: str | None = None
     wait_s: float = 0
@@ -116,6 +119,7 @@
             idempotent=call.idempotent,
             outcome=progress.outcome,
             may_have_run=progress.may_have_run,
+            cut=progress.cut,
             wrong=progress.wrong,
         )
 
@@ -175,6 +179,9 @@
             call.deadline_s,
         )
         self.reasons[_label(kind, answer)] += 1
+        match answer:
+            case NoAnswer() | Refused(outcome='unknown'):
+                progress.cut = True
         return answer
 
     def _nodes_for(self, call: Call) -> tuple[LoadNode, ...]:
--- a/packages/standins/bilberryrail/standins/caller_report.py
+++ b/packages/standins/bilberryrail/standins/caller_report.py
@@ -32,6 +32,8 @@
         submission got no whole answer.
     may_have_run
         Whether any submission ended other than with a true "not run".
+    cut
+        Whether a submission got no whole answer or an unknown outcome.
     wrong
         Whether an answer was not whole, belonged to another request or came
         from a region outside the tenant's home regions.
@@ -41,6 +43,7 @@
     idempotent: bool
     outcome: str
     may_have_run: bool = False
+    cut: bool = False
     wrong: bool = False
 
 
@@ -58,6 +61,9 @@
         Non-idempotent calls that were executed more than once.
     false_not_run
         Calls whose every answer was "not run" although they were executed.
+    cut
+        Calls with a submission that got no whole answer or an unknown
+        outcome. A crash may cut calls; a graceful shutdown must not.
     wrong
         Calls that got an answer that was not whole or not their own.
     p50_ms, p99_ms, max_ms
@@ -71,6 +77,7 @@
     missing: int
     doubled: int
     false_not_run: int
+    cut: int
     wrong: int
     p50_ms: float
     p99_ms: float
@@ -128,6 +135,7 @@
             not call.may_have_run and executions.get(call.request, 0) > 0
             for call in calls
         ),
+        cut=sum(call.cut for call in calls),
         wrong=sum(call.wrong for call in calls),
         p50_ms=_percentile(histogram, MEDIAN),
         p99_ms=_percentile(histogram, TAIL),
--- a/packages/standins/bilberryrail/standins/demo.py
+++ b/packages/standins/bilberryrail/standins/demo.py
@@ -1,20 +1,18 @@
 """Demo of a deployment: ``python -m bilberryrail.standins.demo``.
 
 Sets up a deployment on loopback, sends lookups and bookings, takes an
-availability zone out and brings it back while the load runs, drains every
-node, and prints what the callers saw. Ends with status 1 if a call was lost,
-refused as invalid, executed twice, answered wrongly, or dispatched in the
-zone that was out.
+availability zone out and brings it back while the load runs, replaces every
+node one after another, drains them all, and prints what the callers saw. Ends
+with status 1 if a call was cut, lost, refused as invalid, executed twice,
+answered wrongly, or dispatched in the zone that was out.
 """
 
 import signal
-import subprocess
 import sys
 import time
 from dataclasses import dataclass
 from typing import Annotated
 
-import msgspec
 import typer
 
 from bilberryrail.core.ids import AvailabilityZoneId
@@ -26,15 +24,16 @@
     start_system,
 )
 from bilberryrail.standins.deployments import load_deployment, place
-from bilberryrail.standins.processes import Child, Children, ProcessError
+from bilberryrail.standins.processes import Children, ProcessError
+from bilberryrail.standins.running_load import start_load
 
 #: Invariant 3: a zone that is out gets no new work after this time.
 ZONE_OUT_S = 3.0
 #: Shares of the load's length at which the zone leaves and returns.
 LEAVE_AT = 0.25
 RETURN_AT = 0.65
-#: Time that the last calls and their patience may take after the load.
-LOAD_END_S = 20.0
+#: The load is ended when every node has been replaced, at the latest now.
+LONGEST_LOAD_S = 110.0
 #: Shortest load that leaves time to watch a zone that is out.
 MIN_SECONDS = 12
 #: Least time for which a zone that is out is watched for new work.
@@ -77,7 +76,10 @@
     def passed(self) -> bool:
         """Tell whether nothing was lost, doubled, wrong or in the zone."""
         return not (
-            self.load.has_violations or self.late_in_zone or self.unclean_exits
+            self.load.has_violations
+            or self.load.cut
+            or self.late_in_zone
+            or self.unclean_exits
         )
 
 
@@ -124,6 +126,7 @@
         ('refused (not run)', load.refused),
         ('refused as invalid', load.invalid),
         ('lost', load.lost),
+        ('cut', load.cut),
         ('completed but not executed', load.missing),
         ('doubled', load.doubled),
         ('wrong answers', load.wrong),
@@ -140,42 +143,32 @@
 def _measure(system: System, options: Options) -> Findings:
     zones = tuple(system.plan.deployment.zones)
     zone = zones[1]
+    settings = system.load_settings(options.seed, LONGEST_LOAD_S, options.rate)
+    load = start_load(settings, system.children)
     started_at = time.monotonic()
-    report_path = system.children.directory / 'report.json'
-    settings = system.load_settings(
-        options.seed,
-        options.seconds,
-        options.rate,
-    )
-    load = system.children.start(
-        'callers',
-        'bilberryrail.standins.callers',
-        str(system.children.write('load.json', msgspec.json.encode(settings))),
-        '--out',
-        str(report_path),
-    )
     late = _cycle_zone(system, zone, started_at, options.seconds)
-    _wait_for_load(load, options.seconds + LOAD_END_S)
-    report = msgspec.json.decode(report_path.read_bytes(), type=LoadReport)
+    _sleep_until(started_at + options.seconds)
+    statuses = _replace_nodes(system)
+    report = load.finish()
     excess = system.cold_excess()
     _say('draining every node')
-    statuses = system.children.stop(system.nodes)
+    stopped = system.children.stop(tuple(system.nodes.values()))
+    statuses += tuple(stopped.items())
     return Findings(
         load=report,
         zone=zone,
         late_in_zone=late,
         cold_excess=excess,
-        unclean_exits=tuple(name for name in statuses if statuses[name]),
+        unclean_exits=tuple(name for name, status in statuses if status),
     )
 
 
-def _wait_for_load(load: Child, timeout_s: float) -> None:
-    try:
-        status = load.process.wait(timeout_s)
-    except subprocess.TimeoutExpired as error:
-        raise DemoError(f'the load did not end:\n{load.tail()}') from error
-    if status:
-        raise DemoError(f'the load ended with {status}:\n{load.tail()}')
+def _replace_nodes(system: System) -> tuple[tuple[str, int], ...]:
+    """Replace node after node; returns the exit status of each."""
+    _say('replacing every node')
+    return tuple(
+        (host.identity.node, system.replace(host)) for host in system.plan.hosts
+    )
 
 
 def _cycle_zone(
--- a/packages/standins/bilberryrail/standins/demo_system.py
+++ b/packages/standins/bilberryrail/standins/demo_system.py
@@ -7,9 +7,10 @@
 
 import msgspec
 
-from bilberryrail.core.ids import AvailabilityZoneId
+from bilberryrail.core.ids import AvailabilityZoneId, NodeId
 from bilberryrail.standins.deployments import (
     DeploymentPlan,
+    HostPlan,
     first_intent,
     node_settings,
 )
@@ -29,6 +30,10 @@
 JOIN_POLL_S = 0.25
 
 
+#: What a node logs once it accepts calls.
+SERVING = 'event=lifecycle phase=serving'
+
+
 class DemoError(Exception):
     """A step of the demo failed."""
 
@@ -54,7 +59,30 @@
 
     plan: DeploymentPlan
     children: Children
-    nodes: tuple[Child, ...]
+    nodes: dict[NodeId, Child]
+
+    def replace(self, host: HostPlan) -> int:
+        """Shut a node down gracefully and start it again.
+
+        Returns
+        -------
+        int
+            Exit status of the old process; negative for a signal.
+        """
+        old = self.nodes[host.identity.node]
+        status = self.children.stop([old])[old.name]
+        self.nodes[host.identity.node] = start_node(
+            self.plan,
+            host,
+            self.children,
+        )
+        self.wait_until_serving(host)
+        return status
+
+    def wait_until_serving(self, host: HostPlan) -> None:
+        """Wait until a node has caught up and accepts calls."""
+        child = self.nodes[host.identity.node]
+        self.children.wait_for_output(child, SERVING)
 
     def command(self, *arguments: str) -> str:
         """Run the operators' command and return what it printed.
@@ -137,11 +165,29 @@
 
 
 def start_system(plan: DeploymentPlan, children: Children) -> System:
-    """Start log service, backend servers and nodes; wait until they listen."""
+    """Start log service, backend servers and nodes; wait until they serve."""
     _start_log(plan, children)
     _start_backends(plan, children)
-    nodes = _start_nodes(plan, children)
-    return System(plan, children, nodes)
+    nodes = {
+        host.identity.node: start_node(plan, host, children)
+        for host in plan.hosts
+    }
+    system = System(plan, children, nodes)
+    for host in plan.hosts:
+        system.wait_until_serving(host)
+    return system
+
+
+def start_node(
+    plan: DeploymentPlan,
+    host: HostPlan,
+    children: Children,
+) -> Child:
+    """Start one node without waiting for it."""
+    name = host.identity.node
+    encoded = msgspec.json.encode(node_settings(plan, host))
+    path = children.write(f'{name}.json', encoded)
+    return children.start(name, 'bilberryrail.node', str(path))
 
 
 def set_up(system: System) -> str:
@@ -184,19 +230,3 @@
     module = 'bilberryrail.standins.backend_server'
     child = children.start('backends', module, str(path))
     children.wait_until_listening(child, [server.port for server in backends])
-
-
-def _start_nodes(
-    plan: DeploymentPlan,
-    children: Children,
-) -> tuple[Child, ...]:
-    nodes: list[Child] = []
-    for host in plan.hosts:
-        name = host.identity.node
-        encoded = msgspec.json.encode(node_settings(plan, host))
-        path = children.write(f'{name}.json', encoded)
-        nodes.append(children.start(name, 'bilberryrail.node', str(path)))
-    for child, host in zip(nodes, plan.hosts, strict=True):
-        ports = [host.identity.port, host.identity.http_port]
-        children.wait_until_listening(child, [*ports, host.operator_port])
-    return tuple(nodes)
--- a/packages/standins/bilberryrail/standins/load_run.py
+++ b/packages/standins/bilberryrail/standins/load_run.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter
 from collections.abc import Iterator
+from dataclasses import dataclass
 
 import msgspec
 import treq
@@ -11,7 +12,11 @@
 from twisted.internet.task import deferLater
 
 from bilberryrail.standins.caller_calls import Call, Caller
-from bilberryrail.standins.caller_report import LoadReport, make_report
+from bilberryrail.standins.caller_report import (
+    CallResult,
+    LoadReport,
+    make_report,
+)
 from bilberryrail.standins.load_settings import LoadSettings
 
 #: Time after the last answer in which cancelled calls reach their end.
@@ -19,6 +24,17 @@
 REQUEST_ID_BITS = 64
 
 
+@dataclass
+class Stopping:
+    """Whether the load was asked to start no more calls."""
+
+    requested: bool = False
+
+    def request(self) -> None:
+        """Start no more calls."""
+        self.requested = True
+
+
 class _Executions(msgspec.Struct):
     """Answer of ``GET /executions``; other fields are ignored."""
 
@@ -50,15 +66,29 @@
         at += source.expovariate(settings.rate)
 
 
-async def run_load(settings: LoadSettings, clock: IReactorTime) -> LoadReport:
-    """Carry out a load and compare it with what was executed."""
+async def run_load(
+    settings: LoadSettings,
+    clock: IReactorTime,
+    stopping: Stopping,
+) -> LoadReport:
+    """Carry out a load and compare it with what was executed.
+
+    Parameters
+    ----------
+    stopping
+        Set to start no more calls; those in flight are finished.
+    """
     source = random.Random(settings.seed)
-    # Arrivals have their own generator, so they do not depend on answers.
-    planned = tuple(arrivals(settings, random.Random(settings.seed)))
     caller = Caller(settings.nodes, clock, source)
-    running = [
-        deferLater(clock, at, _start, caller, call) for at, call in planned
-    ]
+    running: list[Deferred[CallResult]] = []
+    started_at = clock.seconds()
+    # Arrivals have their own generator, so they do not depend on answers.
+    for at, call in arrivals(settings, random.Random(settings.seed)):
+        wait_s = max(started_at + at - clock.seconds(), 0)
+        await deferLater(clock, wait_s)
+        if stopping.requested:
+            break
+        running.append(ensureDeferred(caller.run(call)))
     calls = await gatherResults(running)
     await deferLater(clock, SETTLE_S)
     executions = await executions_of(settings.backends)
@@ -82,7 +112,3 @@
     response = await treq.get(f'{backend}/executions')
     body = await treq.content(response)
     return Counter(msgspec.json.decode(body, type=_Executions).counts)
-
-
-def _start(caller: Caller, call: Call) -> Deferred:
-    return ensureDeferred(caller.run(call))
--- a/packages/standins/bilberryrail/standins/processes.py
+++ b/packages/standins/bilberryrail/standins/processes.py
@@ -4,7 +4,9 @@
 left, also after an error or Ctrl-C. Every process is addressed by its id.
 """
 
+import itertools
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -17,6 +19,9 @@
 
 LOOPBACK = '127.0.0.1'
 POLL_INTERVAL_S = 0.05
+#: Below the range that Linux takes ports for outgoing connections from; one
+#: of those could take a chosen port before its process listens on it.
+PORTS = range(20_000, 32_768)
 
 
 class ProcessError(Exception):
@@ -39,13 +44,9 @@
 
 def free_ports(count: int) -> tuple[int, ...]:
     """Choose loopback ports that nothing listens on now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for unbound in sockets:
-        unbound.bind((LOOPBACK, 0))
-    ports = tuple(bound.getsockname()[1] for bound in sockets)
-    for bound in sockets:
-        bound.close()
-    return ports
+    # Not seeded: others on this host choose ports at the same time.
+    candidates = random.SystemRandom().sample(PORTS, len(PORTS))
+    return tuple(itertools.islice(filter(_is_free, candidates), count))
 
 
 class Children:
@@ -81,7 +82,8 @@
 
     def start(self, name: str, module: str, *arguments: str) -> Child:
         """Start ``python -m module arguments``."""
-        output = self.directory / f'{name}.log'
+        # Numbered, because a process may be started again under its name.
+        output = self.directory / f'{name}-{len(self.children)}.log'
         with output.open('wb') as sink:
             process = subprocess.Popen(
                 [sys.executable, '-m', module, *arguments],
@@ -125,6 +127,30 @@
                 )
             time.sleep(POLL_INTERVAL_S if waiting else 0)
 
+    def wait_for_output(
+        self,
+        child: Child,
+        text: str,
+        timeout_s: float = 20.0,
+    ) -> None:
+        """Wait until a child has written a text.
+
+        Raises
+        ------
+        ProcessError
+            If the child ends first or the time is up.
+        """
+        deadline = time.monotonic() + timeout_s
+        while text not in child.output.read_text(errors='replace'):
+            if child.process.poll() is not None:
+                raise ProcessError(f'{child.name} ended early:\n{child.tail()}')
+            if time.monotonic() > deadline:
+                raise ProcessError(
+                    f'{child.name} did not write {text!r} within '
+                    f'{timeout_s} s:\n{child.tail()}',
+                )
+            time.sleep(POLL_INTERVAL_S)
+
     def stop(self, children: Sequence[Child]) -> dict[str, int]:
         """Send SIGTERM to children, then SIGKILL to those that stay.
 
@@ -151,6 +177,15 @@
         return process.wait()
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as unbound:
+        try:
+            unbound.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
+
+
 def _accepts(port: int) -> bool:
     with socket.socket() as probe:
         probe.settimeout(1)
