Measure slopes in fresh processes

Change: `dev.py bench slopes` measures memory (RSS), bytes, processor time and log appends at several sizes, each point in a process of its own, and fits a line by least squares.

--- a/packages/bench/bilberryrail/bench/__main__.py
+++ b/packages/bench/bilberryrail/bench/__main__.py
@@ -5,6 +5,7 @@
 
 import typer
 
+from bilberryrail.bench import slopes as slope_tables
 from bilberryrail.bench.table import measure
 
 #: Half of the cores, so that a measurement leaves the machine usable.
@@ -30,6 +31,18 @@
         typer.echo(line)
 
 
+@application.command()
+def slopes(
+    only: Annotated[
+        str,
+        typer.Option(help='Measure cases whose name contains this.'),
+    ] = '',
+) -> None:
+    """Measure memory, bytes and processor time by size; fit lines."""
+    for line in slope_tables.measure(only):
+        typer.echo(line)
+
+
 @application.callback()
 def main() -> None:
     """Measure the decisions on the paused clock."""
