Let second parents send heartbeats instead of records

Cause: an interior relay node sent each record to 32 children, about eleven times its byte limit.

Change: Subscribe has a field heartbeats_only; a node sets it for all parents but the first. A node that makes no progress for one status interval takes records from all sources for 30 s.

--- a/packages/bench/bilberryrail/bench/slope_messages.py
+++ b/packages/bench/bilberryrail/bench/slope_messages.py
@@ -222,9 +222,14 @@
     state = world.make_state(members)
     order = world.in_relay_order(state)
     engine = world.make_engine(state, order[_INTERIOR])
-    for child in order[_FIRST_CHILD : _FIRST_CHILD + children]:
+    subscribers = order[_FIRST_CHILD : _FIRST_CHILD + children]
+    for number, child in enumerate(subscribers):
         engine.handle(messages.LinkUp(child), world.START)
-        asked = messages.SubscribeReceived(child.node, state.offset)
+        asked = messages.SubscribeReceived(
+            child.node,
+            state.offset,
+            heartbeats_only=number >= _FIRST_CHILDREN,
+        )
         engine.handle(asked, world.START)
     return engine
 
--- a/packages/control/bilberryrail/control/conftest.py
+++ b/packages/control/bilberryrail/control/conftest.py
@@ -278,8 +278,10 @@
 
     def _send(self, node: NodeId, action) -> None:
         match action:
-            case messages.SendSubscribe(peer=peer, applied=applied):
-                event = messages.SubscribeReceived(node, applied)
+            case messages.SendSubscribe(peer, applied, heartbeats_only):
+                event = messages.SubscribeReceived(
+                    node, applied, heartbeats_only
+                )
                 self._post(peer, event, node)
             case messages.SendRecords(peer, entries, current, unlogged):
                 event = messages.RecordsReceived(
--- a/packages/control/bilberryrail/control/messages.py
+++ b/packages/control/bilberryrail/control/messages.py
@@ -100,10 +100,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SubscribeReceived:
-    """A node asks for records after its applied offset."""
+    """A node asks for records after its applied offset.
+
+    With ``heartbeats_only`` it gets those once, and then only the newest
+    offset, because another source sends it the records that follow.
+    """
 
     peer: NodeId
     applied: Offset
+    heartbeats_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,10 +228,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SendSubscribe:
-    """Ask a parent for records after ``applied``."""
+    """Ask a parent for records; see ``SubscribeReceived``."""
 
     peer: NodeId
     applied: Offset
+    heartbeats_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/control/bilberryrail/control/placement.py
+++ b/packages/control/bilberryrail/control/placement.py
@@ -60,7 +60,12 @@
         self._basis = basis
         yield from self._update_role()
         wanted = self._sources(log_available, contacts)
-        yield from self.sources.choose(wanted, self._links(), now)
+        yield from self.sources.choose(
+            wanted,
+            self._links(),
+            now,
+            from_first=self._has_parents(),
+        )
 
     def _exclude(self) -> None:
         exclusion = (self.membership.version, tuple(self.sources.suspects))
@@ -93,6 +98,11 @@
         earlier = self.directory.earlier_readers()
         return (*earlier[-MAX_SOURCES:], *self._partners())
 
+    def _has_parents(self) -> bool:
+        """Tell whether the sources are those of the relay tree."""
+        waits = self.is_reader or self.replica.lacks_state
+        return self.replica.caught_up and not waits
+
     def _links(self) -> tuple[Member, ...]:
         if not self.is_reader:
             return ()
--- a/packages/control/bilberryrail/control/plane.py
+++ b/packages/control/bilberryrail/control/plane.py
@@ -134,8 +134,8 @@
                 yield from self.links.open(member)
             case messages.LinkDown(peer=peer):
                 self.links.lose(peer, now)
-            case messages.SubscribeReceived(peer=peer, applied=applied):
-                yield from parts.relay.subscribe(peer, applied, now)
+            case messages.SubscribeReceived():
+                yield from parts.relay.subscribe(event, now)
             case messages.RecordsReceived():
                 yield from self.intake.hear_records(event, now)
             case messages.StateReceived(peer=peer, state=state):
--- a/packages/control/bilberryrail/control/plane_test.py
+++ b/packages/control/bilberryrail/control/plane_test.py
@@ -88,6 +88,25 @@
         assert not plane.parts.sources.is_source(frozen)
 
 
+def test_record_is_sent_by_one_parent(network):
+    """Guards against a second copy of each record, and a lasting silence."""
+    network.run(40)
+    children = [
+        plane
+        for plane in network.planes.values()
+        if plane.caught_up and not plane.parts.placement.is_reader
+    ]
+    for plane in children:
+        own = plane.parts.own.node
+        first, *others = plane.parts.sources.heard
+        waiting = [
+            network.planes[source].parts.relay.subscribers[own].heartbeats_only
+            for source in (first, *others)
+        ]
+        assert waiting == [False, *[True for _ in others]]
+    assert any(len(plane.parts.sources.heard) == 2 for plane in children)
+
+
 def test_join_while_log_is_down(network):
     """Guards against a node that cannot join, or is forgotten, in an outage."""
     network.log.up = False
--- a/packages/control/bilberryrail/control/relay.py
+++ b/packages/control/bilberryrail/control/relay.py
@@ -11,6 +11,7 @@
     LogEvent,
     SendRecords,
     SendState,
+    SubscribeReceived,
 )
 from bilberryrail.control.replica import Replica
 from bilberryrail.control.settings import RelaySettings
@@ -59,6 +60,8 @@
     ----------
     sent
         Newest offset sent to it.
+    heartbeats_only
+        Whether another source sends it the records.
     greeted
         Whether it was sent all unlogged announcements once.
     """
@@ -66,6 +69,7 @@
     sent: Offset
     sent_at: Seconds
     renewed_at: Seconds
+    heartbeats_only: bool
     greeted: bool = False
 
 
@@ -91,18 +95,19 @@
 
     def subscribe(
         self,
-        peer: NodeId,
-        applied: Offset,
+        event: SubscribeReceived,
         now: Seconds,
     ) -> tuple[ControlAction, ...]:
         """Accept a subscriber and send what it lacks."""
+        peer = event.peer
         known = self.subscribers.get(peer)
         if known is None and len(self.subscribers) >= self.limit:
             return (LogEvent('subscriber_refused', {'peer': peer}),)
         self.subscribers[peer] = _Subscriber(
-            sent=applied,
+            sent=event.applied,
             sent_at=now,
             renewed_at=now,
+            heartbeats_only=event.heartbeats_only,
             greeted=known is not None and known.greeted,
         )
         return self._bring_up(peer, now)
@@ -112,10 +117,11 @@
         self.subscribers.pop(peer, None)
 
     def push(self, now: Seconds) -> tuple[ControlAction, ...]:
-        """Send new records to every subscriber that lacks them."""
+        """Send new records to the subscribers that wait for them here."""
         actions: list[ControlAction] = []
         for peer, subscriber in self.subscribers.items():
-            if subscriber.sent < self.replica.state.offset:
+            waits = not (subscriber.heartbeats_only and subscriber.greeted)
+            if waits and subscriber.sent < self.replica.state.offset:
                 actions.extend(self._bring_up(peer, now))
         return tuple(actions)
 
@@ -128,7 +134,12 @@
         quiet_since = now - self.interval_s / 2
         actions: list[ControlAction] = []
         for peer, subscriber in self.subscribers.items():
-            if subscriber.sent_at <= quiet_since:
+            if subscriber.sent_at > quiet_since:
+                continue
+            if subscriber.heartbeats_only and subscriber.greeted:
+                subscriber.sent_at = now
+                actions.append(self._message(peer, ()))
+            else:
                 actions.extend(self._bring_up(peer, now))
         return tuple(actions)
 
--- a/packages/control/bilberryrail/control/sources.py
+++ b/packages/control/bilberryrail/control/sources.py
@@ -1,6 +1,7 @@
 """Where this node gets records from when it does not read the log."""
 
 from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import Final
 
 from bilberryrail.control.directory import Directory
@@ -25,6 +26,18 @@
 SEED_RETRY_S: Final = 5.0
 #: Sources used at the same time; a record is lost only if both fail.
 MAX_SOURCES: Final = 2
+#: Time for which all sources send records after the first one failed to, in
+#: seconds. Shorter times let a node fall behind again and again while a
+#: parent stays behind.
+ALL_SEND_S: Final = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Subscription:
+    """When this node last subscribed to a source, and for what."""
+
+    at: Seconds
+    heartbeats_only: bool
 
 
 class Sources:
@@ -50,7 +63,9 @@
         self.links: dict[NodeId, Member] = {}
         self.suspects: dict[NodeId, Seconds] = {}
         self._opened: dict[NodeId, Member] = {}
-        self._subscribed: dict[NodeId, Seconds] = {}
+        self._subscribed: dict[NodeId, _Subscription] = {}
+        self._from_first = False
+        self._all_until = Seconds(float('-inf'))
         self._seeds_at = Seconds(float('-inf'))
         self._checked_at = Seconds(float('-inf'))
 
@@ -117,8 +132,15 @@
         sources: tuple[Member, ...],
         links: tuple[Member, ...],
         now: Seconds,
+        *,
+        from_first: bool,
     ) -> Iterator[ControlAction]:
-        """Use these sources, with links to them and to ``links``."""
+        """Use these sources, with links to them and to ``links``.
+
+        With ``from_first`` only the first source sends records, and the
+        others only state the newest offset.
+        """
+        self._from_first = from_first
         nodes = tuple(source.node for source in sources)
         if nodes != tuple(self.heard):
             self.heard = {node: self.heard.get(node, now) for node in nodes}
@@ -137,15 +159,17 @@
         for peer in tuple(self._subscribed):
             if peer not in self.heard:
                 self._subscribed.pop(peer)
+        quiet = self._from_first and now >= self._all_until
+        first = self.first
         for peer in self.heard:
-            since = self._subscribed.get(peer)
-            is_due = since is None or now - since >= renewal_s
-            if is_due and peer in self.up:
-                self._subscribed[peer] = now
-                yield SendSubscribe(peer, applied)
-
-    def subscribe_again(self) -> None:
-        """Ask all sources once more for the records that are missing."""
+            wanted = _Subscription(now, quiet and peer != first)
+            if peer in self.up and self._is_due(peer, wanted, renewal_s):
+                self._subscribed[peer] = wanted
+                yield SendSubscribe(peer, applied, wanted.heartbeats_only)
+
+    def subscribe_again(self, now: Seconds) -> None:
+        """Let all sources send the records that are missing."""
+        self._all_until = Seconds(now + ALL_SEND_S)
         self._subscribed.clear()
 
     def contacts(self) -> tuple[Member, ...]:
@@ -153,6 +177,17 @@
         nodes = sorted(self.up.keys() - self.suspects.keys())
         return tuple(self.up[node] for node in nodes[:MAX_SOURCES])
 
+    def _is_due(
+        self,
+        peer: NodeId,
+        wanted: _Subscription,
+        renewal_s: float,
+    ) -> bool:
+        known = self._subscribed.get(peer)
+        if known is None or known.heartbeats_only != wanted.heartbeats_only:
+            return True
+        return wanted.at - known.at >= renewal_s
+
     def _is_recent(self, at: Seconds, now: Seconds) -> bool:
         limit = self.settings.status_interval_s * MISSED_HEARTBEATS
         return now - at <= limit
--- a/packages/control/bilberryrail/control/upkeep.py
+++ b/packages/control/bilberryrail/control/upkeep.py
@@ -64,7 +64,7 @@
         self.parts.sources.suspect_silent(now)
         self.parts.membership.expire_unlogged(now)
         if self.replica.is_behind and offset == self._last_offset:
-            self.parts.sources.subscribe_again()
+            self.parts.sources.subscribe_again(now)
         self._last_offset = offset
         yield from self.parts.relay.beat(now)
         yield from self.parts.exchange.send(offset, now)
--- a/packages/node/bilberryrail/node/self_delivery.py
+++ b/packages/node/bilberryrail/node/self_delivery.py
@@ -81,8 +81,8 @@
     incarnation: Incarnation,
 ) -> events.Event | None:
     match action:
-        case messages.SendSubscribe(applied=applied):
-            return messages.SubscribeReceived(own, applied)
+        case messages.SendSubscribe(_, applied, heartbeats_only):
+            return messages.SubscribeReceived(own, applied, heartbeats_only)
         case messages.SendRecords(entries=entries, current=current):
             unlogged = action.unlogged
             return messages.RecordsReceived(own, entries, current, unlogged)
--- a/packages/wire/bilberryrail/wire/encoding.py
+++ b/packages/wire/bilberryrail/wire/encoding.py
@@ -105,8 +105,11 @@
     incarnation: Incarnation,
 ) -> peer_pb2.Frame:
     match action:
-        case messages.SendSubscribe(applied=applied):
-            subscribe = peer_pb2.Subscribe(applied=applied)
+        case messages.SendSubscribe():
+            subscribe = peer_pb2.Subscribe(
+                applied=action.applied,
+                heartbeats_only=action.heartbeats_only,
+            )
             return peer_pb2.Frame(subscribe=subscribe)
         case messages.SendRecords():
             return _records(action)
--- a/packages/wire/bilberryrail/wire/frames.py
+++ b/packages/wire/bilberryrail/wire/frames.py
@@ -211,7 +211,11 @@
 
 
 def _subscribe(found: peer_pb2.Subscribe, peer: NodeId, _: int) -> _Decoded:
-    event = messages.SubscribeReceived(peer, Offset(found.applied))
+    event = messages.SubscribeReceived(
+        peer=peer,
+        applied=Offset(found.applied),
+        heartbeats_only=found.heartbeats_only,
+    )
     return Ok(Received(event))
 
 
--- a/packages/wire/bilberryrail/wire/frames_test.py
+++ b/packages/wire/bilberryrail/wire/frames_test.py
@@ -50,6 +50,10 @@
         messages.SendSubscribe('n2', -1),
         messages.SubscribeReceived('n1', -1),
     ),
+    (
+        messages.SendSubscribe('n2', 7, heartbeats_only=True),
+        messages.SubscribeReceived('n1', 7, heartbeats_only=True),
+    ),
     (
         messages.SendRecords('n2', (ENTRY,), 9, (MEMBER,)),
         messages.RecordsReceived('n1', (ENTRY,), 9, (MEMBER,)),
