--- a/packages/bench/bilberryrail/bench/slope_cases.py
+++ b/packages/bench/bilberryrail/bench/slope_cases.py
@@ -103,6 +103,12 @@
         _CHILDREN,
     ),
     Case('relay round', 'slope_messages.relay_round', 'child', _CHILDREN),
+    Case(
+        'ordinary day at an inner relay node',
+        'slope_day.interior',
+        '',
+        (0,),
+    ),
     Case(
         'routing decision',
         'slope_calls.routing',
--- /dev/null
+++ b/packages/bench/bilberryrail/bench/slope_day.py
@@ -0,0 +1,147 @@
+"""Control traffic of an interior relay node on an ordinary day.
+
+Simulates some minutes with the default settings at the rates of section 1.7
+of the design page, and counts every message of the relay.
+"""
+
+import time
+from collections.abc import Iterator
+from itertools import product
+from operator import itemgetter
+from typing import Final
+
+from bilberryrail.bench import slope_world as world
+from bilberryrail.bench.slope_messages import (
+    FRAMING_BYTES,
+    RELAYED,
+    change,
+    refresh,
+    restart,
+)
+from bilberryrail.control import messages
+from bilberryrail.control.settings import RelaySettings
+from bilberryrail.core.ids import NodeId, Offset, Seconds
+from bilberryrail.core.records import Leave, LogEntry, Member, Record
+from bilberryrail.policy.engine import NodeEngine
+
+#: Length of the simulation.
+SECONDS: Final = 600
+#: Place in the relay order of the node that is simulated.
+_POSITION: Final = 5
+_DAY: Final = 86_400
+_CHANGES_A_DAY: Final = 24_000
+_RESTARTS_A_DAY: Final = 7200
+_STEPS: Final = 5
+_MS: Final = 1000
+#: Part of a second after the heartbeats at which children report.
+_LATER: Final = 0.5
+_NEVER: Final = Seconds(float('inf'))
+
+#: Instant in seconds, event and its size in bytes on the wire.
+Arrival = tuple[float, messages.ControlEvent, int]
+
+
+def interior(_: int) -> dict[str, float]:
+    """Simulate the node; processor time is that of the engine alone."""
+    state = world.make_state(world.MEMBERS)
+    order = world.in_relay_order(state)
+    engine = world.make_engine(state, order[_POSITION])
+    reports = _reports(_subscribe(engine, order))
+    arriving = [*_ticks(), *reports, *_relayed(engine)]
+    sent: list[int] = []
+    before = time.process_time()
+    for at, event, _size in sorted(arriving, key=itemgetter(0)):
+        for action in engine.handle(event, world.START + at):
+            if isinstance(action, RELAYED):
+                sent.append(len(world.frame_bytes(action)) + FRAMING_BYTES)
+    spent = time.process_time() - before
+    received = sum(size for _at, _event, size in arriving)
+    return {
+        'bytes received/s': received / SECONDS,
+        'bytes sent/s': sum(sent) / SECONDS,
+        'bytes/s': (received + sum(sent)) / SECONDS,
+        'messages sent/s': len(sent) / SECONDS,
+        'processor ms/s': spent / SECONDS * _MS,
+    }
+
+
+def _subscribe(engine: NodeEngine, order: list[Member]) -> list[Member]:
+    """Let the children of this node and of the next one subscribe."""
+    count = RelaySettings().children_per_parent
+    start = _POSITION * count + 1
+    children = order[start : start + 2 * count]
+    subscribers = engine.plane.parts.relay.subscribers
+    for index, child in enumerate(children):
+        engine.handle(messages.LinkUp(child), world.START)
+        asked = messages.SubscribeReceived(
+            child.node,
+            engine.plane.state.offset,
+            heartbeats_only=index >= count,
+        )
+        engine.handle(asked, world.START)
+        # Renewals would be due before the end of the simulation.
+        subscribers[child.node].renewed_at = _NEVER
+    return children[:count]
+
+
+def _ticks() -> Iterator[Arrival]:
+    for step in range(SECONDS * _STEPS):
+        yield step / _STEPS, messages.Tick(), 0
+
+
+def _reports(children: list[Member]) -> Iterator[Arrival]:
+    """Let each first child report two availability zones every second."""
+    zone = messages.ZoneStatus('north', 20_000, 8, 0.5)
+    report = {'north-1': zone, 'north-2': zone}
+    frame = world.frame_bytes(messages.SendStatus('n', report))
+    for second, child in product(range(SECONDS), children):
+        event = messages.StatusReceived(child.node, report)
+        yield second + _LATER, event, len(frame) + FRAMING_BYTES
+
+
+def _relayed(engine: NodeEngine) -> Iterator[Arrival]:
+    """Yield records of the first parent and heartbeats of the second."""
+    first, second = engine.plane.parts.sources.heard
+    offset = engine.plane.state.offset
+    timed = [(float(beat), None) for beat in range(SECONDS)]
+    for at, record in sorted([*timed, *_records()], key=itemgetter(0)):
+        if record is None:
+            yield at, *_from_parent(second, (), offset)
+            continue
+        offset = Offset(offset + 1)
+        yield at, *_from_parent(first, (LogEntry(offset, record),), offset)
+
+
+def _from_parent(
+    parent: NodeId,
+    entries: tuple[LogEntry, ...],
+    offset: Offset,
+) -> tuple[messages.ControlEvent, int]:
+    frame = world.frame_bytes(messages.SendRecords('n', entries, offset))
+    event = messages.RecordsReceived(parent, entries, offset)
+    return event, len(frame) + FRAMING_BYTES
+
+
+def _records() -> list[tuple[float, Record | None]]:
+    """List the records of the simulated time with their instants."""
+    periods = {
+        'refresh': RelaySettings().refresh_interval_s / world.MEMBERS,
+        'change': _DAY / _CHANGES_A_DAY,
+        'restart': _DAY / _RESTARTS_A_DAY,
+    }
+    found: list[tuple[float, Record | None]] = []
+    for kind, period in periods.items():
+        for number in range(int(SECONDS / period)):
+            at = (number + 1) * period
+            found.extend((at, made) for made in _make(kind, number))
+    return found
+
+
+def _make(kind: str, number: int) -> tuple[Record, ...]:
+    if kind == 'refresh':
+        return (refresh(number),)
+    if kind == 'change':
+        return (change(number),)
+    member = world.make_member(number)
+    leave = Leave(f'{number:032x}', member.node, member.incarnation)
+    return (leave, restart(number))
--- a/packages/bench/bilberryrail/bench/slope_messages.py
+++ b/packages/bench/bilberryrail/bench/slope_messages.py
@@ -38,6 +38,15 @@
 _LOAD: Final = LoadReport(3, 20, 1, 0.0123)
 _ID: Final = '5f0c3e0f7d6b4a52a4ff32d09b1c77e1'
 
+#: Messages of the relay.
+RELAYED: Final = (
+    messages.SendRecords,
+    messages.SendStatus,
+    messages.SendSubscribe,
+)
+#: Bytes before each message: 9 of an HTTP/2 DATA frame, 5 of gRPC.
+FRAMING_BYTES: Final = 14
+
 
 def refresh(number: int) -> Join:
     """Make the refresh of a member."""
@@ -162,7 +171,7 @@
         events_now.append(messages.Tick())
         for event in events_now:
             for action in engine.handle(event, now):
-                if isinstance(action, _RELAYED):
+                if isinstance(action, RELAYED):
                     sent.append(len(world.frame_bytes(action)))
 
     spent = world.microseconds(one_round, 10) * 5
@@ -174,13 +183,6 @@
     }
 
 
-_RELAYED: Final = (
-    messages.SendRecords,
-    messages.SendStatus,
-    messages.SendSubscribe,
-)
-
-
 def _reports(engine: NodeEngine) -> list[messages.StatusReceived]:
     zones = ('north-1', 'north-2')
     report = {
