Add a world with faults and checkers of the invariants

Cause: the ten invariants were tested module by module, but no run looked at all of them while parts fail.

Change: the proofs package drives the real engines of a small deployment over links, a log service, backend servers and callers that can fail, and writes a trace. Checkers read only the trace. Callers take a new reservation only after "not run", so an untrue refusal books twice. The fabric of the benchmark gets a hook that makes a node, and fake backend servers can say that they drain.

--- a/packages/bench/bilberryrail/bench/backends.py
+++ b/packages/bench/bilberryrail/bench/backends.py
@@ -46,6 +46,8 @@
         Service times are multiplied by it.
     cold_since
         Time of the last cold start, or None when warm.
+    draining
+        Whether its reports say that it drains.
     over_cold_limit
         Calls started while more were in flight than it bears when cold.
     """
@@ -57,6 +59,7 @@
     slow_factor: float = 1.0
     cold_since: float | None = None
     boots: int = 0
+    draining: bool = False
     running: dict[int, Work] = field(default_factory=dict)
     waiting: deque[int] = field(default_factory=deque)
     known: dict[int, Work] = field(default_factory=dict)
@@ -85,7 +88,7 @@
         return BackendReport(
             in_flight=len(self.running) + len(self.waiting),
             cold=self.cold_since is not None and self.bears() > 0,
-            draining=False,
+            draining=self.draining,
             boot=f'boot-{self.boots}',
         )
 
--- a/packages/bench/bilberryrail/bench/fabric.py
+++ b/packages/bench/bilberryrail/bench/fabric.py
@@ -94,13 +94,10 @@
         self.log = FakeLog(scheduler)
         self.out_since: dict[AvailabilityZoneId, float] = {}
         self.nodes = {
-            identity.node: SimulatedNode(
+            identity.node: self.make_node(
                 identity,
-                NodeEngine(
-                    EngineSettings(identity=identity),
-                    random.Random(f'{seed}/{identity.node}'),
-                ),
                 backends[identity.node],
+                f'{seed}/{identity.node}',
             )
             for identity in deployment.identities()
         }
@@ -109,6 +106,19 @@
         for node in self.nodes.values():
             self._by_region.setdefault(node.identity.region, []).append(node)
 
+    def make_node(
+        self,
+        identity: NodeIdentity,
+        backend: FakeBackend,
+        seed: str,
+    ) -> SimulatedNode:
+        """Make a fresh incarnation of a node."""
+        engine = NodeEngine(
+            EngineSettings(identity=identity),
+            random.Random(seed),
+        )
+        return SimulatedNode(identity, engine, backend)
+
     def start(self) -> None:
         """Publish the first configuration and start all engines."""
         self.publish(self.deployment.edits())
--- /dev/null
+++ b/packages/proofs/bilberryrail/proofs/cell.py
@@ -0,0 +1,305 @@
+"""Runs one cell of the fault matrix."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from functools import partial
+from types import MappingProxyType
+
+from bilberryrail.core.load import Outcome
+from bilberryrail.core.records import TenantConfig, TenantEdit, Verdict
+from bilberryrail.policy import actions, events
+from bilberryrail.proofs import faults, trace
+from bilberryrail.proofs.checkers import Rules, violations
+from bilberryrail.proofs.deployment import COURTS_SMALL, HOME_TENANT
+from bilberryrail.proofs.jobs import Callers
+from bilberryrail.proofs.matrix import Column, End
+from bilberryrail.proofs.node import ProofNode
+from bilberryrail.proofs.operators import Operator
+from bilberryrail.proofs.steps import ACTION_TESTS, EVENT_TESTS, Row, Step
+from bilberryrail.proofs.world import World
+
+#: Calls start when all nodes have caught up, and end before the run does.
+LOAD_FROM_S = 0.4
+LOAD_UNTIL_S = 2.4
+CALLS_PER_S = 30.0
+#: From then on the first occurrence of a step is struck.
+STRIKE_FROM_S = 0.6
+#: Long enough for the longest fault, and for all nodes to hear of changes.
+END_S = 7.0
+#: Stricter than the 12 s of the design page, to keep a run short.
+IN_FORCE_S = 3.0
+#: Time after a dispatch at which the call is running.
+RUNNING_S = 0.005
+SHORT_S = 1.0
+#: Longer than a reservation is valid and than a view may be stale.
+LONG_S = 3.4
+#: Changes published while a node is paused, enough for a snapshot.
+CHANGES = 6
+
+RULES = Rules(
+    home={HOME_TENANT: (COURTS_SMALL.home_region,)},
+    in_force_s=IN_FORCE_S,
+)
+ZONE_OUT = b'{"zones_out": ["ub2"]}'
+OTHER_ZONE_OUT = b'{"zones_out": ["da2"]}'
+
+
+@dataclass(frozen=True, slots=True)
+class CellResult:
+    """Ends of what the fault struck, and violations of the invariants."""
+
+    ends: frozenset[End]
+    violations: tuple[str, ...]
+
+
+class CellRun:
+    """One run: a light load, a step, and a fault that begins at it.
+
+    Attributes
+    ----------
+    struck
+        Node that the fault began at, None until the step occurred.
+    submission
+        Submission that was at this step.
+    """
+
+    def __init__(self, step: Step, column: Column, seed: int) -> None:
+        self.step = step
+        self.column = column
+        self.world = World(COURTS_SMALL, seed)
+        self.callers = Callers(self.world, seed)
+        self.operator = Operator(self.world, 'first')
+        self.rival = Operator(self.world, 'second')
+        self.struck: ProofNode | None = None
+        self.submission: int | None = None
+
+    def run(self) -> CellResult:
+        """Run to the end and judge."""
+        world = self.world
+        world.before.append(self._look_before)
+        world.after.append(self._look_after)
+        world.start()
+        world.scheduler.at(STRIKE_FROM_S, self._prepare)
+        world.scheduler.run_until(LOAD_FROM_S)
+        self.callers.offer(LOAD_UNTIL_S, CALLS_PER_S)
+        world.scheduler.run_until(END_S)
+        world.settle()
+        if self.struck is None:
+            return CellResult(frozenset(), ('the step did not occur',))
+        found = violations(world.recorder.notes, RULES)
+        return CellResult(frozenset(self._ends()), found)
+
+    def _prepare(self) -> None:
+        """Start what the step belongs to; calls come by themselves."""
+        world = self.world
+        node = next(iter(world.nodes.values()))
+        match self.step:
+            case Step.ANNOUNCE | Step.REPLACE:
+                faults.kill(world, node)
+                faults.restart(world, node)
+            case Step.DRAIN | Step.LEAVE:
+                faults.drain(world, node)
+            case Step.PLAN:
+                self._strike(node)
+        if self.step.row is Row.CONFIGURATION:
+            self.operator.change(node, ZONE_OUT)
+        if self.step is Step.SNAPSHOT:
+            _publish_changes(world)
+
+    def _look_before(self, node: ProofNode, event: events.Event) -> None:
+        test = EVENT_TESTS.get(self.step)
+        if test is None or not self._is_due() or not test(event):
+            return
+        if self.step is Step.REPLACE and node.stated is not None:
+            return
+        self._note_submission(node, event)
+        self._strike(node)
+
+    def _look_after(self, node: ProofNode, action: actions.Action) -> None:
+        test = ACTION_TESTS.get(self.step)
+        if test is None or not self._is_due() or not test(action):
+            return
+        self._note_submission(node, action)
+        if self.step is Step.RUN:
+            self.struck = node
+            strike = partial(self._strike, node)
+            self.world.scheduler.after(RUNNING_S, strike)
+        else:
+            self._strike(node)
+
+    def _is_due(self) -> bool:
+        is_late = self.world.scheduler.now >= STRIKE_FROM_S
+        return is_late and self.struck is None
+
+    def _note_submission(
+        self,
+        node: ProofNode,
+        message: events.Event | actions.Action,
+    ) -> None:
+        routes = self.world.recorder.routes
+        match message:
+            case events.CallArrived(call=call) | actions.SendAttempt(call=call):
+                self.submission = call
+            case (
+                events.AttemptReceived(peer=peer, attempt=attempt)
+                | events.ReservationReceived(peer=peer, attempt=attempt)
+                | actions.Dispatch(peer=peer, attempt=attempt)
+            ):
+                self.submission = routes.get((peer, attempt))
+            case events.AnswerReceived(attempt=attempt):
+                self.submission = routes.get((node.name, attempt))
+            case events.BackendAnswered(dispatch=dispatch):
+                self.submission = node.answers.get(dispatch)
+            case _:
+                fields = getattr(message, 'fields', {})
+                self.submission = fields.get('call')
+        if self.submission is not None:
+            self.callers.patient.add(self.submission)
+
+    def _strike(self, node: ProofNode) -> None:
+        self.struck = node
+        _FAULTS[self.column](self, node)
+
+    def _ends(self) -> set[End]:
+        match self.step.row:
+            case Row.CALL:
+                return {
+                    _end_of(note, self.callers, self.world)
+                    for note in self.world.recorder.notes
+                    if isinstance(note, trace.Told)
+                    and note.submission == self.submission
+                }
+            case Row.CONFIGURATION:
+                return {
+                    _VERDICTS[operator.verdict]
+                    for operator in (self.operator, self.rival)
+                    if operator.plan is not None
+                }
+        members = self.world.reference.members
+        return {
+            End.MEMBER if self.struck.name in members else End.GONE,
+        }
+
+
+def run_cell(step: Step, column: Column, seed: int = 1) -> CellResult:
+    """Run one cell of the matrix."""
+    return CellRun(step, column, seed).run()
+
+
+_OUTCOMES = MappingProxyType(
+    {
+        Outcome.COMPLETED: End.ANSWER,
+        Outcome.NOT_RUN: End.NOT_RUN,
+        Outcome.UNKNOWN: End.UNKNOWN,
+    }
+)
+_VERDICTS = MappingProxyType(
+    {
+        Verdict.ACCEPTED: End.CONFIRMED,
+        Verdict.REJECTED: End.REJECTED,
+        None: End.PENDING,
+    }
+)
+
+
+def _end_of(note: trace.Told, callers: Callers, world: World) -> End:
+    if note.outcome is not None:
+        return _OUTCOMES[note.outcome]
+    submission = world.submissions[note.submission]
+    if submission.number in callers.granted:
+        return End.TOKEN
+    return End.LOST
+
+
+Strike = Callable[[CellRun, ProofNode], None]
+
+
+def _lasting(
+    begin: faults.Change,
+    end: faults.Change,
+    lasts_s: float = SHORT_S,
+) -> Strike:
+    def strike(run: CellRun, node: ProofNode) -> None:  # noqa: WPS430
+        begin(run.world, node)
+        restore = partial(end, run.world, node)
+        run.world.scheduler.after(lasts_s, restore)
+
+    return strike
+
+
+def _together(*strikes: Strike) -> Strike:
+    def strike(run: CellRun, node: ProofNode) -> None:  # noqa: WPS430
+        for each in strikes:
+            each(run, node)
+
+    return strike
+
+
+def _publish_changes(world: World) -> None:
+    """Publish enough changes within a second for a snapshot."""
+    for number in range(CHANGES):
+        edit = TenantEdit(TenantConfig(f'new-{number}'))
+        publish = partial(world.publish, (edit,))
+        world.scheduler.after(SHORT_S * number / (CHANGES + 1), publish)
+
+
+def _expire(run: CellRun, node: ProofNode) -> None:
+    """Pause a node while records that it has not read expire."""
+    world = run.world
+    faults.freeze(world, node)
+    _publish_changes(world)
+    world.scheduler.after(SHORT_S, world.log.expire)
+    world.scheduler.after(SHORT_S, partial(faults.thaw, world, node))
+
+
+def _two_operators(run: CellRun, node: ProofNode) -> None:
+    """Let two operators confirm conflicting changes at once."""
+    if run.operator.plan is None:
+        run.operator.change(node, ZONE_OUT)
+    others = [each for each in run.world.live() if each.name != node.name]
+    run.rival.change(others[-1], OTHER_ZONE_OUT)
+
+
+def _cold_twice(run: CellRun, node: ProofNode) -> None:
+    faults.turn_cold(run.world, node)
+    again = partial(faults.turn_cold, run.world, node)
+    run.world.scheduler.after(SHORT_S / 2, again)
+
+
+def _kill_twice(run: CellRun, node: ProofNode) -> None:
+    """Kill a node, and its next incarnation soon after the restart."""
+    world = run.world
+    faults.kill(world, node)
+    quarter_s = SHORT_S / 4
+    restart = partial(faults.restart, world, node)
+    world.scheduler.after(quarter_s, restart)
+    world.scheduler.after(
+        2 * quarter_s,
+        lambda: faults.kill(world, world.nodes[node.name]),
+    )
+    world.scheduler.after(SHORT_S, restart)
+
+
+_KILL = _lasting(faults.kill, faults.restart)
+_CUT = _lasting(faults.cut, faults.mend)
+_FREEZE = _lasting(faults.freeze, faults.thaw)
+_LOG_DOWN = _lasting(faults.log_down, faults.log_up)
+_LOSE_ANSWERS = _lasting(faults.lose_log_answers, faults.keep_log_answers)
+_FAULTS: Mapping[Column, Strike] = MappingProxyType(
+    {
+        Column.KILLED: _KILL,
+        Column.CUT: _CUT,
+        Column.FROZEN: _FREEZE,
+        Column.SLOW: _lasting(faults.slow, faults.speed_up),
+        Column.LOG_DOWN: _LOG_DOWN,
+        Column.LOST_ANSWER: _LOSE_ANSWERS,
+        Column.EXPIRED: _expire,
+        Column.LAPSED: _lasting(faults.freeze, faults.thaw, LONG_S),
+        Column.OPERATORS: _two_operators,
+        Column.COLD: _cold_twice,
+        Column.KILLED_LOG_DOWN: _together(_LOG_DOWN, _KILL),
+        Column.FROZEN_COLD: _together(_FREEZE, _cold_twice),
+        Column.CUT_LOST_ANSWER: _together(_LOSE_ANSWERS, _CUT),
+        Column.KILLED_TWICE: _kill_twice,
+    }
+)
--- /dev/null
+++ b/packages/proofs/bilberryrail/proofs/faults.py
@@ -0,0 +1,164 @@
+"""Faults, each as a pair of functions that begin and end it on a node."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+from bilberryrail.control import messages
+from bilberryrail.policy import events
+from bilberryrail.proofs import trace
+from bilberryrail.proofs.node import ProofNode
+from bilberryrail.proofs.world import World
+
+#: Factor of slow service, and latency added to links, when a node is slow.
+SLOW_FACTOR = 20
+SLOW_LINK_S = 0.2
+
+Change = Callable[[World, ProofNode], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something that fails at a node and recovers after ``lasts_s``."""
+
+    name: str
+    begin: Change
+    end: Change
+    lasts_s: float
+
+
+def kill(world: World, node: ProofNode) -> None:
+    """End the process of a node; its connections break."""
+    if not node.alive:
+        return
+    node.alive = False
+    world.recorder.reach(node.name, able=False)
+    for dispatch in tuple(node.running):
+        node.backend.cancel(dispatch)
+    for peer in world.live():
+        world.break_link(node, peer)
+    world.hang_up(node)
+
+
+def restart(world: World, node: ProofNode) -> None:
+    """Start a new incarnation beside the same backend server."""
+    name = node.name
+    if world.nodes[name].alive:
+        return
+    fresh = world.make_node(node.identity, node.backend, f'{world.seed}/{name}')
+    world.nodes[name] = fresh
+    world.recorder.reach(name, able=True)
+    world.handle(fresh, messages.Tick())
+
+
+def freeze(world: World, node: ProofNode) -> None:
+    """Pause the process of a node."""
+    if node.alive:
+        node.frozen = True
+        world.recorder.reach(node.name, able=False)
+
+
+def thaw(world: World, node: ProofNode) -> None:
+    """Continue a paused process."""
+    if node.alive and node.frozen:
+        world.resume(node)
+
+
+def cut(world: World, node: ProofNode) -> None:
+    """Break all links of a node and let none be opened."""
+    world.recorder.reach(node.name, able=False)
+    for peer in world.nodes.values():
+        if peer.name != node.name:
+            world.links.cut.add(frozenset((node.name, peer.name)))
+            world.break_link(node, peer)
+
+
+def mend(world: World, node: ProofNode) -> None:
+    """Let links of a node be opened again."""
+    world.links.cut = {
+        pair for pair in world.links.cut if node.name not in pair
+    }
+    if world.nodes[node.name].alive:
+        world.recorder.reach(node.name, able=True)
+
+
+def slow(world: World, node: ProofNode) -> None:
+    """Slow the backend server and the links of a node."""
+    node.backend.slow_factor = SLOW_FACTOR
+    world.links.extra_s[node.name] = SLOW_LINK_S
+
+
+def speed_up(world: World, node: ProofNode) -> None:
+    """End slowness."""
+    node.backend.slow_factor = 1
+    world.links.extra_s.pop(node.name, None)
+
+
+def log_down(world: World, _: ProofNode) -> None:
+    """Take the log service down."""
+    world.log.down = True
+    for name in world.nodes:
+        world.recorder.reach(name, able=False)
+
+
+def log_up(world: World, _: ProofNode) -> None:
+    """Bring the log service back."""
+    world.log.down = False
+    for node in world.live():
+        if not node.frozen:
+            world.recorder.reach(node.name, able=True)
+
+
+def lose_log_answers(world: World, _: ProofNode) -> None:
+    """Let the next three appends be stored without an answer."""
+    world.log.lost_answers = 3
+
+
+def keep_log_answers(world: World, _: ProofNode) -> None:
+    """Answer appends again."""
+    world.log.lost_answers = 0
+
+
+def expire_records(world: World, node: ProofNode) -> None:
+    """Let records expire while a node is down, so it needs a snapshot."""
+    kill(world, node)
+    world.log.expire()
+
+
+def turn_cold(world: World, node: ProofNode) -> None:
+    """Restart the backend server; it forgets nothing but its warmth."""
+    node.backend.turn_cold()
+
+
+def lose_backend(world: World, node: ProofNode) -> None:
+    """Kill the backend server: running calls fail, connections are refused."""
+    node.backend_down = True
+    node.backend.turn_cold()
+    for dispatch in tuple(node.running):
+        node.running.pop(dispatch)
+        node.backend.cancel(dispatch)
+        failed = events.BackendFailed(dispatch, True, 'reset')
+        world.scheduler.after(0, partial(world.handle, node, failed))
+
+
+def restore_backend(world: World, node: ProofNode) -> None:
+    """Start the backend server again; it is cold."""
+    node.backend_down = False
+    world.nodes[node.name].backend_down = False
+
+
+def drain(world: World, node: ProofNode) -> None:
+    """Tell a node to shut down."""
+    if node.alive:
+        world.handle(node, messages.DrainRequested())
+
+
+def drain_backend(world: World, node: ProofNode) -> None:
+    """Let the backend server of a node leave."""
+    node.backend.draining = True
+    note = trace.Leaving(world.scheduler.now, node.name)
+    world.recorder.add(note)
+
+
+def nothing(world: World, node: ProofNode) -> None:
+    """Leave things as they are."""
--- /dev/null
+++ b/packages/proofs/bilberryrail/proofs/jobs.py
@@ -0,0 +1,179 @@
+"""Jobs of callers, and the callers that see them through."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from typing import TYPE_CHECKING
+
+from bilberryrail.core.ids import CallId, RegionId, ServiceId, TenantId
+from bilberryrail.core.load import Outcome
+from bilberryrail.policy import events
+from bilberryrail.proofs.deployment import HOME_TENANT
+
+if TYPE_CHECKING:
+    from bilberryrail.proofs.node import ProofNode
+    from bilberryrail.proofs.world import World
+
+#: Deadline of every call, in seconds.
+DEADLINE_S = 1.0
+#: Time after which an impatient caller closes its connection and asks again.
+PATIENCE_S = 0.03
+#: Time before a caller comes back.
+BACKOFF_S = 0.05
+#: Submissions of one job, reservations included.
+MAX_SUBMISSIONS = 8
+#: Share of callers on weak phones.
+IMPATIENT_SHARE = 0.2
+
+
+@dataclass(slots=True)
+class Job:
+    """Something that a caller wants done, for example one booking."""
+
+    number: int
+    service: ServiceId
+    tenant: TenantId
+    region: RegionId
+    idempotent: bool
+    submissions: int = 0
+    outcomes: list[Outcome | None] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Submission:
+    """One request of a caller; ``done`` gets its outcome and a token."""
+
+    number: CallId
+    job: Job
+    done: Callable[[Outcome | None, str | None], None]
+    token: str | None = None
+    ingress: 'ProofNode | None' = None
+
+    def event(self) -> events.Event:
+        """Give the event that the ingress handles."""
+        job = self.job
+        if job.idempotent or self.token is not None:
+            return events.CallArrived(
+                self.number,
+                job.service,
+                job.tenant,
+                1,
+                DEADLINE_S,
+                self.token,
+            )
+        return events.ReservationAsked(
+            self.number,
+            job.service,
+            job.tenant,
+            DEADLINE_S,
+        )
+
+
+class Callers:
+    """Callers that ask again as the design page allows them to.
+
+    A booking that may have run is submitted again with the same token. Only
+    when every submission of a token was refused as "not run" does the caller
+    take a new reservation, so an untrue refusal would book twice.
+    """
+
+    def __init__(self, world: 'World', seed: int) -> None:
+        self.world = world
+        self.random = random.Random(f'{seed}/callers')
+        self.jobs: list[Job] = []
+        #: Submissions that were granted a token.
+        self.granted: set[int] = set()
+        #: Submissions whose caller waits for the end.
+        self.patient: set[int] = set()
+        self._numbers = count(1)
+        sizes = world.deployment.services
+        self._idempotent = {size.service: size.idempotent for size in sizes}
+
+    def offer(self, until: float, per_s: float) -> None:
+        """Schedule seeded arrivals from now on."""
+        now = self.world.scheduler.now
+        while now < until:
+            now += self.random.expovariate(per_s)
+            self.world.scheduler.at(now, self.start_any)
+
+    def start_any(self) -> None:
+        """Start a job of a random service, tenant and region."""
+        deployment = self.world.deployment
+        service = self.random.choice(tuple(self._idempotent))
+        tenant = self.random.choice(deployment.tenants)
+        region = self.random.choice(tuple(deployment.zones.values()))
+        if tenant == HOME_TENANT:
+            region = deployment.home_region
+        self.start(service, tenant, region)
+
+    def start(
+        self,
+        service: ServiceId,
+        tenant: TenantId,
+        region: RegionId,
+    ) -> Job:
+        """Start one job."""
+        number = len(self.jobs) + 1
+        idempotent = self._idempotent[service]
+        job = Job(number, service, tenant, region, idempotent)
+        self.jobs.append(job)
+        self.submit(job, None)
+        return job
+
+    def submit(self, job: Job, token: str | None) -> Submission:
+        """Submit a job to a node of the caller's region."""
+        job.submissions += 1
+        submission = Submission(
+            CallId(next(self._numbers)),
+            job,
+            lambda *_: None,
+            token,
+        )
+        submission.done = lambda outcome, granted: self._go_on(
+            submission,
+            outcome,
+            granted,
+        )
+        nodes = [
+            node
+            for node in self.world.nodes.values()
+            if node.identity.region == job.region
+        ]
+        self.world.ask(self.random.choice(nodes), submission)
+        if token is not None and self.random.random() < IMPATIENT_SHARE:
+            self._after(PATIENCE_S, lambda: self._lose_patience(submission))
+        return submission
+
+    def _lose_patience(self, submission: Submission) -> None:
+        ingress = submission.ingress
+        if submission.number in self.patient or ingress is None:
+            return
+        if submission.number not in ingress.open_calls:
+            return
+        self.world.leave(submission)
+        self._go_on(submission, None, None)
+
+    def _go_on(
+        self,
+        submission: Submission,
+        outcome: Outcome | None,
+        granted: str | None,
+    ) -> None:
+        job = submission.job
+        if granted is not None:
+            self.granted.add(submission.number)
+            job.outcomes.clear()
+            self.submit(job, granted)
+            return
+        job.outcomes.append(outcome)
+        over = outcome in {Outcome.COMPLETED, Outcome.INVALID}
+        if over or job.idempotent or job.submissions >= MAX_SUBMISSIONS:
+            return
+        token = submission.token
+        if set(job.outcomes) == {Outcome.NOT_RUN}:
+            token = None
+        self._after(BACKOFF_S, lambda: self.submit(job, token))
+
+    def _after(self, delay_s: float, run: Callable[[], object]) -> None:
+        self.world.scheduler.after(delay_s, run)
--- /dev/null
+++ b/packages/proofs/bilberryrail/proofs/matrix.py
@@ -0,0 +1,98 @@
+"""Fault matrix: what callers and operators get, for each step and fault.
+
+Each cell names the ends that are allowed for what the fault struck; the cell
+is run by ``cell.run_cell`` and judged by all checkers besides. The rows of the
+table are the steps, its columns the faults, and its letters those of ``End``.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from types import MappingProxyType
+
+from bilberryrail.proofs.steps import Step
+
+
+class Column(Enum):
+    """Fault that begins at a step."""
+
+    KILLED = 'process killed'
+    CUT = 'connections cut'
+    FROZEN = 'frozen, then resumed'
+    SLOW = 'slow'
+    LOG_DOWN = 'log service down'
+    LOST_ANSWER = 'log answer lost'
+    EXPIRED = 'record expired before it was read'
+    LAPSED = 'timers lapsed during a pause'
+    OPERATORS = 'two operators at once'
+    COLD = 'backend server cold again'
+    KILLED_LOG_DOWN = 'killed while the log is down'
+    FROZEN_COLD = 'frozen while the backend server turns cold'
+    CUT_LOST_ANSWER = 'cut while a log answer is lost'
+    KILLED_TWICE = 'killed again after its restart'
+
+
+class End(Enum):
+    """What the caller or the operator gets."""
+
+    ANSWER = 'A'
+    TOKEN = 'T'
+    NOT_RUN = 'N'
+    UNKNOWN = 'U'
+    LOST = 'L'
+    CONFIRMED = 'C'
+    REJECTED = 'R'
+    PENDING = 'P'
+    MEMBER = 'M'
+    GONE = 'G'
+
+
+MEANING = MappingProxyType(
+    {
+        End.ANSWER: 'the whole answer to its own call',
+        End.TOKEN: 'a reservation',
+        End.NOT_RUN: 'a refusal as "not run", and a time to come back',
+        End.UNKNOWN: '"outcome unknown"; the same token is safe to submit again',
+        End.LOST: 'a broken connection; the same token is safe to submit again',
+        End.CONFIRMED: 'the change was accepted',
+        End.REJECTED: 'the change was rejected with a reason',
+        End.PENDING: 'no verdict; the log does not hold the change',
+        End.MEMBER: 'the node is a member in the log',
+        End.GONE: 'the node is no member in the log',
+    }
+)
+
+#: Mark of a combination that cannot occur.
+NEVER = '-'
+_TABLE = """
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """One step, one fault, and the ends that are allowed."""
+
+    step: Step
+    column: Column
+    ends: frozenset[End]
+
+
+#: Why some combinations cannot occur.
+IMPOSSIBLE: Mapping[tuple[Step, Column], str] = MappingProxyType({})
+
+
+def _read_table() -> dict[tuple[Step, Column], str]:
+    found = {}
+    for line in _TABLE.strip().splitlines():
+        name, *marks = line.split()
+        for column, mark in zip(Column, marks, strict=True):
+            found[Step(name), column] = mark
+    return found
+
+
+MARKS = _read_table()
+CELLS = tuple(
+    Cell(step, column, frozenset(End(letter) for letter in mark))
+    for (step, column), mark in MARKS.items()
+    if mark != NEVER
+)
--- /dev/null
+++ b/packages/proofs/bilberryrail/proofs/recorder.py
@@ -0,0 +1,176 @@
+"""Writes the trace of a run."""
+
+from collections.abc import Mapping
+
+from bilberryrail.bench.scheduler import Scheduler
+from bilberryrail.control import messages
+from bilberryrail.core.ids import NodeId
+from bilberryrail.core.load import Outcome, Reason
+from bilberryrail.policy import actions, events
+from bilberryrail.proofs import trace
+from bilberryrail.proofs.jobs import Submission
+from bilberryrail.proofs.node import ProofNode
+
+
+class Recorder:
+    """Turns what the world does into notes."""
+
+    def __init__(self, scheduler: Scheduler) -> None:
+        self.scheduler = scheduler
+        self.notes: list[trace.Note] = []
+        #: Submission of each attempt, by ingress and attempt.
+        self.routes: dict[tuple[NodeId, int], int] = {}
+        self._cause: str | None = None
+
+    def add(self, note: trace.Note) -> None:
+        """Add a note."""
+        self.notes.append(note)
+
+    def submitted(self, submission: Submission) -> None:
+        """Note that a caller submitted a job."""
+        job = submission.job
+        self.add(
+            trace.Submitted(
+                self.scheduler.now,
+                submission.number,
+                job.number,
+                job.idempotent,
+                submission.token,
+            ),
+        )
+
+    def left(self, submission: Submission) -> None:
+        """Note that a caller gave up."""
+        self.add(trace.CallerLeft(self.scheduler.now, submission.number))
+
+    def told(
+        self,
+        submission: Submission,
+        outcome: Outcome | None = None,
+        reason: Reason | None = None,
+        answer_of: int | None = None,
+    ) -> None:
+        """Note what a caller was told."""
+        number = submission.number
+        now = self.scheduler.now
+        self.add(trace.Told(now, number, outcome, reason, answer_of))
+
+    def reach(self, node: NodeId, *, able: bool) -> None:
+        """Note that a node can or cannot learn what the log holds."""
+        self.add(trace.Reach(self.scheduler.now, node, able))
+
+    def held(self, node: ProofNode, *, agrees: bool) -> None:
+        """Note the configuration of a node at the end."""
+        offset = node.engine.plane.state.offset
+        now = self.scheduler.now
+        self.add(trace.Held(now, node.name, offset, agrees))
+
+    def executed(
+        self,
+        node: ProofNode,
+        submission: Submission | None,
+    ) -> None:
+        """Note that a backend server is about to run a job."""
+        backend = node.backend
+        if submission is not None:
+            self._use(node, trace.Use.RUN, submission.job.tenant)
+        self.add(
+            trace.Executed(
+                at=self.scheduler.now,
+                node=node.name,
+                incarnation=node.incarnation,
+                zone=node.identity.zone,
+                submission=submission and submission.number,
+                in_flight=len(backend.running) + len(backend.waiting) + 1,
+                bears=int(backend.bears()),
+                knows_boot=node.known_boot == backend.boots,
+                applied=node.engine.plane.state.offset,
+                stated=node.stated,
+            ),
+        )
+
+    def heard(self, node: ProofNode, event: events.Event) -> None:
+        """Learn what a node is about to know."""
+        self._cause = getattr(event, 'tenant', None)
+        match event:
+            case events.CallArrived() | events.ReservationAsked():
+                node.read_calls.add(event.call)
+            case messages.LogRead(end=offset):
+                node.hears_offset(offset)
+            case messages.RecordsReceived(current=offset):
+                node.hears_offset(offset)
+            case messages.StateReceived(state=state):
+                node.hears_offset(state.offset)
+            case (
+                events.BackendAnswered(report=events.BackendReport(boot=boot))
+                | events.BackendHealth(report=events.BackendReport(boot=boot))
+            ):
+                node.known_boot = max(node.known_boot, _boot_number(boot))
+            case events.BackendFailed(started=False):
+                node.known_boot = node.backend.boots
+            case messages.DrainRequested():
+                self.add(trace.Leaving(self.scheduler.now, node.name))
+
+    def observe(self, node: ProofNode) -> None:
+        """Note how far a node has applied the log."""
+        offset = node.engine.plane.state.offset
+        if offset != node.applied:
+            node.applied = offset
+            now = self.scheduler.now
+            self.add(trace.Applied(now, node.name, node.incarnation, offset))
+
+    def acted(
+        self,
+        node: ProofNode,
+        action: actions.Action,
+        submissions: Mapping[int, Submission],
+    ) -> None:
+        """Note what an action does for a tenant, and what it sends."""
+        match action:
+            case actions.SendAttempt(tenant=tenant, peer=peer):
+                self._use(node, trace.Use.ATTEMPT, tenant, peer)
+            case actions.SendReservation(tenant=tenant, peer=peer):
+                self._use(node, trace.Use.RESERVATION, tenant, peer)
+            case actions.SendProbe(peer=peer) if self._cause is not None:
+                self._use(node, trace.Use.PROBE, self._cause, peer)
+            case messages.LogEvent(name='route', fields=fields):
+                route = (node.name, fields['attempt'])
+                self.routes[route] = fields['call']
+                self._use(node, trace.Use.LOG, fields['tenant'])
+            case messages.LogEvent(fields=fields) if 'tenant' in fields:
+                self._use(node, trace.Use.LOG, fields['tenant'])
+            case actions.KeepAnswer(dispatch=dispatch):
+                kept = submissions.get(node.answers.get(dispatch))
+                if kept is not None:
+                    self._use(node, trace.Use.KEEP, kept.job.tenant)
+        self._count(node, action)
+
+    def _use(
+        self,
+        node: ProofNode,
+        use: trace.Use,
+        tenant: str,
+        peer: NodeId | None = None,
+    ) -> None:
+        region = node.identity.region
+        if peer is not None:
+            member = node.engine.view.member(peer)
+            region = 'unknown' if member is None else member.region
+        note = trace.Used(self.scheduler.now, use, node.name, region, tenant)
+        self.add(note)
+
+    def _count(self, node: ProofNode, action: actions.Action) -> None:
+        match action:
+            case actions.SendProbe():
+                size = node.engine.settings.probes.bytes_per_probe
+            case actions.SendAttempt() | actions.SendReservation():
+                size = 0
+            case _:
+                return
+        now = self.scheduler.now
+        note = trace.MessageCounted(now, node.name, node.incarnation, size)
+        self.add(note)
+
+
+def _boot_number(boot: str) -> int:
+    return int(boot.rpartition('-')[2])
--- /dev/null
+++ b/packages/proofs/bilberryrail/proofs/world.py
@@ -0,0 +1,142 @@
+"""A running deployment with callers, and the trace of what it did."""
+
+from functools import partial
+
+from bilberryrail.bench.topology import CLIENT_S
+from bilberryrail.control import messages
+from bilberryrail.control.replay import replay
+from bilberryrail.core.load import Outcome, Reason
+from bilberryrail.core.records import (
+    AvailabilityZoneEdit,
+    Change,
+    ClusterState,
+    Edit,
+    LogEntry,
+    Verdict,
+)
+from bilberryrail.policy import actions, events
+from bilberryrail.proofs import trace
+from bilberryrail.proofs.deployment import ProofDeployment
+from bilberryrail.proofs.jobs import Submission
+from bilberryrail.proofs.network import Network
+from bilberryrail.proofs.node import ProofNode
+
+
+class World(Network):
+    """A network with callers and a reference replay of its log.
+
+    Attributes
+    ----------
+    reference
+        Replay of the whole log, which all nodes must agree with.
+    """
+
+    def __init__(self, deployment: ProofDeployment, seed: int) -> None:
+        super().__init__(deployment, seed)
+        self.reference = ClusterState()
+        self.log.on_entry.append(self._stored)
+
+    def start(self) -> None:
+        """Publish the first configuration and start all engines."""
+        for name in self.nodes:
+            self.recorder.reach(name, able=True)
+        super().start()
+
+    def publish(self, edits: tuple[Edit, ...]) -> None:
+        """Append a change as a confirmed plan would."""
+        end = self.log.end
+        change = Change(f'change-{end}', end, 'operator', edits)
+        self.log.store(change, lambda _: None)
+
+    def ask(self, node: ProofNode, submission: Submission) -> None:
+        """Give a caller's submission to a node of its region."""
+        self.submissions[submission.number] = submission
+        self.recorder.submitted(submission)
+        if not node.alive:
+            self.scheduler.after(CLIENT_S, partial(self.lose, submission))
+            return
+        node.open_calls.add(submission.number)
+        submission.ingress = node
+        self.scheduler.after(
+            CLIENT_S,
+            lambda: self.handle(node, submission.event()),
+        )
+
+    def leave(self, submission: Submission) -> None:
+        """Let a caller close its connection."""
+        node = submission.ingress
+        if node is None or submission.number not in node.open_calls:
+            return
+        node.open_calls.discard(submission.number)
+        self.recorder.left(submission)
+        gone = events.CallerGone(submission.number)
+        self.scheduler.after(CLIENT_S, lambda: self.handle(node, gone))
+
+    def resume(self, node: ProofNode) -> None:
+        """Continue a paused process; what waited in sockets comes first."""
+        node.frozen = False
+        self.recorder.reach(node.name, able=True)
+        unsent = tuple(node.unsent)
+        node.unsent.clear()
+        for action in unsent:
+            self._carry_out(node, action)
+        for event in node.waiting:
+            self._later(0, node, event)
+        node.waiting.clear()
+        self.handle(node, messages.Tick())
+
+    def settle(self) -> None:
+        """Note the configuration that each live node ends with."""
+        entries = self.log.entries
+        for node in self.live():
+            state = node.engine.plane.state
+            wanted = replay(ClusterState(), entries[: state.offset + 1])[0]
+            held = (state.services, state.tenants, state.zones)
+            agrees = held == (wanted.services, wanted.tenants, wanted.zones)
+            self.recorder.held(node, agrees=agrees)
+
+    def _stored(self, entry: LogEntry) -> None:
+        replayed = replay(self.reference, [entry])
+        self.reference = replayed[0]
+        for outcome in replayed[1]:
+            if outcome.verdict is Verdict.ACCEPTED:
+                self.recorder.add(
+                    trace.Accepted(self.scheduler.now, entry.offset),
+                )
+                self._note_zones(entry)
+
+    def _note_zones(self, entry: LogEntry) -> None:
+        for edit in entry.record.edits:
+            if isinstance(edit, AvailabilityZoneEdit):
+                config = edit.zone
+                self.recorder.add(
+                    trace.ZoneSet(self.scheduler.now, config.zone, config.out),
+                )
+
+    def _tell_caller(self, node: ProofNode, action: actions.Action) -> None:
+        if action.call not in node.open_calls:
+            return
+        node.open_calls.discard(action.call)
+        submission = self.submissions[action.call]
+        tell = partial(self._tell, submission)
+        match action:
+            case actions.GrantReservation(token=token):
+                tell = partial(tell, None, None, token=token)
+            case actions.CompleteCall(peer=peer, attempt=attempt):
+                body = self.submissions.get(node.arrived.pop((peer, attempt)))
+                answer_of = None if body is None else body.job.number
+                tell = partial(tell, Outcome.COMPLETED, None, answer_of)
+            case actions.RejectCall(outcome=outcome, reason=reason):
+                tell = partial(tell, outcome, reason)
+        self.scheduler.after(CLIENT_S, tell)
+
+    def _tell(
+        self,
+        submission: Submission,
+        outcome: Outcome | None,
+        reason: Reason | None,
+        answer_of: int | None = None,
+        token: str | None = None,
+    ) -> None:
+        self.recorder.told(submission, outcome, reason, answer_of)
+        submission.done(outcome, token)
