Do not deny a token that another submission used

Cause: a caller that lost its answer submits its token again. Nodes that could not ask the target refused it as "not run" although the booking had run: an ingress that caught up, drained, or found the deadline used up by a pause; an ingress whose message was not sent before the link broke; a shell whose engine had stopped; and a target with a stale view, which did not look into its reservations. A caller that believes this takes a new reservation and books twice. Loss of the link was handled already; the other ways were missed.

Change: refusals by a node that cannot know say "outcome unknown" for a call with a token, and the caller may submit the token again. The target looks into its reservations before it refuses for a stale view. The target's own "not run" still reaches the caller as such.

--- a/packages/node/bilberryrail/node/caller_server.py
+++ b/packages/node/bilberryrail/node/caller_server.py
@@ -14,7 +14,8 @@
 from bilberryrail.node.engine_task import EngineTask
 from bilberryrail.node.metrics import Step
 from bilberryrail.policy import actions
-from bilberryrail.policy.events import CallerGone
+from bilberryrail.policy.events import CallerGone, Token
+from bilberryrail.policy.intake import outcome_unsent
 from bilberryrail.wire.content import CallContent
 
 _Checked = Result[
@@ -51,7 +52,7 @@
             return self._refuse(request, checked.unwrap_err())
         service_id, headers = checked.ok_value
         if self.engine_task.stopped:
-            return self._refuse_stopped(request)
+            return self._refuse_stopped(request, headers.token)
         call = CallId(next(self.ids))
         payload = CallContent(
             path=_suffix_of(request.uri),
@@ -150,11 +151,14 @@
         if self.waiting.pop(call, None):
             self.engine_task.submit(CallerGone(call))
 
-    def _refuse_stopped(self, request: Any) -> bytes:
+    def _refuse_stopped(
+        self, request: Any, token: Token | None = None
+    ) -> bytes:
         """Refuse a call on a connection that outlived the engine."""
-        self.metrics.count_outcome(Outcome.NOT_RUN)
+        outcome = outcome_unsent(token)
+        self.metrics.count_outcome(outcome)
         self.metrics.count_refusal(Reason.DRAINING)
-        reply = caller_reply.rejected(Outcome.NOT_RUN, Reason.DRAINING, 0)
+        reply = caller_reply.rejected(outcome, Reason.DRAINING, 0)
         return _write(request, reply)
 
     def _refuse(
--- a/packages/policy/bilberryrail/policy/calls.py
+++ b/packages/policy/bilberryrail/policy/calls.py
@@ -69,7 +69,8 @@
     sent_count
         Attempts that reached a target, or still wait for a link to one.
     may_have_run
-        Whether a finished attempt may have started.
+        Whether a finished attempt, or an earlier submission of the token, may
+        have started.
     """
 
     call: CallId
--- a/packages/policy/bilberryrail/policy/engine.py
+++ b/packages/policy/bilberryrail/policy/engine.py
@@ -20,7 +20,11 @@
     Stop,
 )
 from bilberryrail.policy.holding import HoldingArea, NewWork
-from bilberryrail.policy.intake import RETRY_AFTER_S
+from bilberryrail.policy.intake import (
+    RETRY_AFTER_S,
+    outcome_unsent,
+    token_of,
+)
 from bilberryrail.policy.parts import EngineParts, default_parts
 from bilberryrail.policy.pause import PauseGuard
 from bilberryrail.policy.settings import EngineSettings
@@ -239,7 +243,7 @@
             case events.CallArrived() | events.ReservationAsked():
                 yield RejectCall(
                     event.call,
-                    Outcome.NOT_RUN,
+                    outcome_unsent(token_of(event)),
                     reason,
                     RETRY_AFTER_S,
                 )
@@ -247,7 +251,7 @@
                 yield SendRefusal(
                     peer=event.peer,
                     attempt=event.attempt,
-                    outcome=Outcome.NOT_RUN,
+                    outcome=self._outcome_refused(event),
                     reason=reason,
                     retry_after_s=RETRY_AFTER_S,
                     load=self.parts.target.load(now),
@@ -255,6 +259,15 @@
         if isinstance(event, events.AttemptReceived):
             yield DropBody(event.peer, event.attempt)
 
+    def _outcome_refused(
+        self,
+        event: events.AttemptReceived | events.ReservationReceived,
+    ) -> Outcome:
+        """Say whether a call that is refused now may run already."""
+        if isinstance(event, events.ReservationReceived) or not event.token:
+            return Outcome.NOT_RUN
+        return self.parts.target.outcome_refused(event.token)
+
     def _stop(self) -> tuple[Action, ...]:
         """Stop once a drain has let everything finish."""
         if not self.draining or self.stopped or self.guard.draining_input:
--- a/packages/policy/bilberryrail/policy/ingress.py
+++ b/packages/policy/bilberryrail/policy/ingress.py
@@ -34,6 +34,8 @@
     Arrival,
     Intake,
     TokenTarget,
+    outcome_unsent,
+    token_of,
 )
 from bilberryrail.policy.lifecycle import CallLife
 from bilberryrail.policy.retries import CallLedger, RetryPolicy
@@ -188,7 +190,7 @@
     ) -> None:
         if self.draining and arrival.parent is None:
             refusal = Refusal(
-                Outcome.NOT_RUN,
+                outcome_unsent(token_of(arrival)),
                 Reason.DRAINING,
                 RETRY_AFTER_S,
             )
@@ -244,6 +246,9 @@
             return
         call = attempt.call
         refusal = Refusal(event.outcome, event.reason, event.retry_after_s)
+        if call.pinned is not None and event.reason is not Reason.LINK_LOST:
+            # The node that the token names knows whether it may have run.
+            call.may_have_run = False
         # The caller cannot help it when a member changed its service.
         misrouted = event.reason is Reason.WRONG_SERVICE and not call.pinned
         if event.outcome is Outcome.INVALID and not misrouted:
--- a/packages/policy/bilberryrail/policy/intake.py
+++ b/packages/policy/bilberryrail/policy/intake.py
@@ -68,7 +68,7 @@
         if home_regions and self.identity.region not in home_regions:
             return _invalid(Reason.HOME_REGION)
         if limits.ok_value.remaining_s <= 0:
-            return _not_run(Reason.DEADLINE)
+            return _unsent(arrival, Reason.DEADLINE)
         return self._with_token(arrival, service, limits.ok_value, now)
 
     def _limits(
@@ -137,6 +137,7 @@
             return _invalid(Reason.RESERVATION_INVALID)
         call.token = token
         call.pinned = target.ok_value
+        call.may_have_run = outcome_unsent(token) is Outcome.UNKNOWN
         return Ok(call)
 
     def _budget(self, arrival: Arrival, limits: CallLimits) -> Budget:
@@ -160,5 +161,20 @@
     return Err(Refusal(Outcome.INVALID, reason, 0))
 
 
-def _not_run(reason: Reason) -> Err[Refusal]:
-    return Err(Refusal(Outcome.NOT_RUN, reason, RETRY_AFTER_S))
+def outcome_unsent(token: Token | None) -> Outcome:
+    """Say what this node knows of a call that it did not send.
+
+    An earlier submission of a token may have run through another node. Only
+    the node that the token names can say that it has not.
+    """
+    return Outcome.NOT_RUN if token is None else Outcome.UNKNOWN
+
+
+def token_of(arrival: Arrival) -> Token | None:
+    """Return the token that an arrival carries."""
+    return arrival.token if isinstance(arrival, CallArrived) else None
+
+
+def _unsent(arrival: Arrival, reason: Reason) -> Err[Refusal]:
+    outcome = outcome_unsent(token_of(arrival))
+    return Err(Refusal(outcome, reason, RETRY_AFTER_S))
--- a/packages/policy/bilberryrail/policy/parts.py
+++ b/packages/policy/bilberryrail/policy/parts.py
@@ -8,10 +8,10 @@
 
 from bilberryrail.control.messages import ControlAction, ControlEvent
 from bilberryrail.core.ids import CallId, Incarnation, NodeId, Seconds
-from bilberryrail.core.load import LoadReport
+from bilberryrail.core.load import LoadReport, Outcome
 from bilberryrail.core.records import ClusterState, Member
 from bilberryrail.policy.actions import Action
-from bilberryrail.policy.events import Event
+from bilberryrail.policy.events import Event, Token
 from bilberryrail.policy.ingress import IngressRole
 from bilberryrail.policy.settings import EngineSettings
 from bilberryrail.policy.view import ClusterView
@@ -65,6 +65,9 @@
     def load(self, now: Seconds) -> LoadReport:
         """Report the load now."""
 
+    def outcome_refused(self, token: Token) -> Outcome:
+        """Say what a refusal before dispatch may claim about a token."""
+
     def take_cancelled_nested(self) -> tuple[CallId, ...]:
         """Return nested calls whose dispatch has ended, once."""
 
--- a/packages/policy/bilberryrail/policy/target.py
+++ b/packages/policy/bilberryrail/policy/target.py
@@ -82,6 +82,14 @@
         """Report the exact state of this target."""
         return self.dispatcher.capacity.load(now)
 
+    def outcome_refused(self, token: events.Token) -> Outcome:
+        """Say what a refusal before dispatch may claim about a token."""
+        sequence = self.reservations.sequence_of(token)
+        is_held = sequence in self.dispatcher.table.by_sequence
+        if is_held or self.reservations.may_have_run(token):
+            return Outcome.UNKNOWN
+        return Outcome.NOT_RUN
+
     def take_cancelled_nested(self) -> tuple[CallId, ...]:
         """Return nested calls that the ingress role must cancel, once.
 
@@ -186,7 +194,10 @@
             return
         refusal = self.gate.refuse_request(attempt, view)
         if refusal is not None:
-            refusal = self._true_refusal(attempt, refusal)
+            # A token that was used before keeps "not run" from being true.
+            token = attempt.token
+            if token and self.outcome_refused(token) is Outcome.UNKNOWN:
+                refusal = Refusal(refusal.reason, outcome=Outcome.UNKNOWN)
         elif attempt.token is None:
             refusal = self._submit(attempt, None, now, view)
         else:
@@ -194,21 +205,6 @@
         if refusal is not None:
             self._refuse(attempt, refusal, now, view)
 
-    def _true_refusal(
-        self,
-        attempt: events.AttemptReceived,
-        refusal: Refusal,
-    ) -> Refusal:
-        """Keep "not run" true for a token that was used before."""
-        token = attempt.token
-        if token is None:
-            return refusal
-        sequence = self.reservations.sequence_of(token)
-        is_held = sequence in self.dispatcher.table.by_sequence
-        if is_held or self.reservations.may_have_run(token):
-            return Refusal(refusal.reason, outcome=Outcome.UNKNOWN)
-        return refusal
-
     def _use_token(
         self,
         attempt: events.AttemptReceived,
