--- a/packages/proofs/bilberryrail/proofs/cell.py
+++ b/packages/proofs/bilberryrail/proofs/cell.py
@@ -112,14 +112,15 @@
             return
         if self.step is Step.REPLACE and node.stated is not None:
             return
-        self._note_submission(node, event)
-        self._strike(node)
+        if self._note_submission(node, event):
+            self._strike(node)
 
     def _look_after(self, node: ProofNode, action: actions.Action) -> None:
         test = ACTION_TESTS.get(self.step)
         if test is None or not self._is_due() or not test(action):
             return
-        self._note_submission(node, action)
+        if not self._note_submission(node, action):
+            return
         if self.step is Step.RUN:
             self.struck = node
             strike = partial(self._strike, node)
@@ -135,7 +136,10 @@
         self,
         node: ProofNode,
         message: events.Event | actions.Action,
-    ) -> None:
+    ) -> bool:
+        """Find the submission at a step; false if its caller has left."""
+        if self.step.row is not Row.CALL:
+            return True
         routes = self.world.recorder.routes
         match message:
             case events.CallArrived(call=call) | actions.SendAttempt(call=call):
@@ -153,8 +157,11 @@
             case _:
                 fields = getattr(message, 'fields', {})
                 self.submission = fields.get('call')
-        if self.submission is not None:
-            self.callers.patient.add(self.submission)
+        found = self.world.submissions.get(self.submission)
+        if found is None or found.number not in found.ingress.open_calls:
+            return False
+        self.callers.patient.add(found.number)
+        return True
 
     def _strike(self, node: ProofNode) -> None:
         self.struck = node
--- a/packages/proofs/bilberryrail/proofs/matrix.py
+++ b/packages/proofs/bilberryrail/proofs/matrix.py
@@ -64,7 +64,31 @@
 
 #: Mark of a combination that cannot occur.
 NEVER = '-'
+# Columns: killed, cut, frozen, slow, log down, lost answer, expired, lapsed,
+# operators, cold, killed + log down, frozen + cold, cut + lost answer, killed
+# twice. A cell may have several ends, since the fault strikes at a step that
+# may belong to different calls, and at an ingress that is its own target.
 _TABLE = """
+accept    L    AU   U    A    A    A    U    U    A    A    L    U    AU   L
+reserve   LT   T    TU   T    T    T    TU   TU   T    T    LT   TU   T    LT
+choose    L    TU   U    AT   AT   AT   U    U    AT   AT   L    U    TU   L
+send      L    AU   AN   A    A    A    AN   AN   A    A    L    AN   AU   L
+admit     LU   AU   NU   A    A    A    NU   NU   A    A    LU   NU   AU   LU
+forward   LU   AU   AU   A    A    A    AU   AU   A    A    LU   AU   AU   LU
+run       LU   AU   AU   A    A    A    AU   AU   A    A    LU   AU   AU   LU
+answer    L    A    A    A    A    A    A    A    A    A    L    A    A    L
+return    L    A    A    A    A    A    A    A    A    A    L    A    A    L
+plan      C    C    C    C    C    C    C    C    CR   C    C    C    C    C
+confirm   C    C    C    C    C    C    C    C    CR   C    C    C    C    C
+append    C    C    C    C    C    C    C    C    CR   C    C    C    C    C
+read      C    C    C    C    C    C    C    C    CR   C    C    C    C    C
+relay     C    C    C    C    C    C    C    C    CR   C    C    C    C    C
+apply     C    C    C    C    C    C    C    C    CR   C    C    C    C    C
+snapshot  C    C    C    C    C    C    C    C    C    C    C    C    C    C
+announce  M    M    M    M    M    M    M    M    M    M    M    M    M    M
+drain     M    G    G    G    M    G    G    G    G    G    M    G    G    M
+leave     M    G    G    G    M    G    G    G    G    G    M    G    G    M
+replace   M    M    M    M    M    M    M    M    M    M    M    M    M    M
 """
 
 
