--- a/packages/node/bilberryrail/node/process_test.py
+++ b/packages/node/bilberryrail/node/process_test.py
@@ -87,6 +87,16 @@
     assert answer.headers['bilberryrail-reason'] == 'draining'
 
 
+async def test_stopped_engine_does_not_deny_a_token(shell):
+    """Guards against "not run" when an earlier submission may have run."""
+    shell.process.engine_task.stop()
+    client = RawClient(shell.callers_port)
+    headers = f'{TENANT}Bilberryrail-Reservation: token-1\r\n'
+    answer = await client.ask(request_bytes(CALLS, headers))
+    assert answer.headers['bilberryrail-outcome'] == 'unknown'
+    assert answer.headers['bilberryrail-reason'] == 'draining'
+
+
 async def test_waiting_input_is_read_before_input_drained(shell, until):
     """Guards against admitting calls before their cancellations are read."""
     clients = [RawClient(shell.callers_port) for _ in range(20)]
--- a/packages/policy/bilberryrail/policy/ingress_test.py
+++ b/packages/policy/bilberryrail/policy/ingress_test.py
@@ -86,6 +86,14 @@
     rig.ended(Outcome.UNKNOWN, Reason.OTHER_INCARNATION)
 
 
+def test_token_in_an_unsent_message_is_unknown():
+    """Guards against "not run" by a shell that could not ask the target."""
+    rig = Rig()
+    rig.arrive('booking', token='south51')
+    rig.refuse(rig.sent[0], Outcome.NOT_RUN, Reason.LINK_LOST)
+    rig.ended(Outcome.UNKNOWN, Reason.LINK_LOST)
+
+
 def test_worthless_tokens_do_not_discredit_a_target():
     """Guards against one caller turning all others away from a target."""
     rig = Rig()
--- a/packages/proofs/bilberryrail/proofs/faults.py
+++ b/packages/proofs/bilberryrail/proofs/faults.py
@@ -46,6 +46,7 @@
     if world.nodes[name].alive:
         return
     fresh = world.make_node(node.identity, node.backend, f'{world.seed}/{name}')
+    fresh.backend_down = node.backend_down
     world.nodes[name] = fresh
     world.recorder.reach(name, able=True)
     world.handle(fresh, messages.Tick())
--- a/packages/proofs/bilberryrail/proofs/faulty_log.py
+++ b/packages/proofs/bilberryrail/proofs/faulty_log.py
@@ -6,13 +6,14 @@
 from bilberryrail.bench.fake_log import FakeLog
 from bilberryrail.control.messages import (
     AppendAcknowledged,
+    AppendRecord,
     AppendUncertain,
     LogExpired,
     LogRead,
     LogUnavailable,
     ReadLog,
 )
-from bilberryrail.core.ids import Offset
+from bilberryrail.core.ids import NodeId, Offset
 from bilberryrail.core.records import LogEntry, Record, SnapshotPart
 
 ReadAnswer = LogRead | LogExpired | LogUnavailable
@@ -33,6 +34,8 @@
         Number of appends that will be stored without an answer.
     first
         Oldest offset that is still kept.
+    barred
+        Nodes that cannot reach the service.
     on_entry
         Called with each stored entry.
     """
@@ -41,6 +44,7 @@
     delay_s: float = 0
     lost_answers: int = 0
     first: Offset = Offset(0)
+    barred: set[NodeId] = field(default_factory=set)
     on_entry: list[Callable[[LogEntry], None]] = field(default_factory=list)
 
     def store(
@@ -90,3 +94,12 @@
     def _outcome(self, event: LogRead) -> ReadAnswer:
         """Fail a long poll that an outage interrupts."""
         return LogUnavailable('connection lost') if self.down else event
+
+
+def unreachable(
+    request: ReadLog | AppendRecord,
+) -> LogUnavailable | AppendUncertain:
+    """Give what a node that cannot reach the service gets."""
+    if isinstance(request, ReadLog):
+        return LogUnavailable('cannot connect')
+    return AppendUncertain(request.record.record_id, 'cannot connect')
--- a/packages/proofs/bilberryrail/proofs/matrix.py
+++ b/packages/proofs/bilberryrail/proofs/matrix.py
@@ -71,12 +71,12 @@
 _TABLE = """
 accept    L    AU   U    A    A    A    U    U    A    A    L    U    AU   L
 reserve   LT   T    TU   T    T    T    TU   TU   T    T    LT   TU   T    LT
-choose    L    TU   U    AT   AT   AT   U    U    AT   AT   L    U    TU   L
-send      L    AU   AN   A    A    A    AN   AN   A    A    L    AN   AU   L
+choose    L    ATU  NU   AT   AT   AT   NU   NU   AT   AT   L    NU   ATU  L
+send      L    AU   ANU  A    A    A    ANU  AN   A    A    L    ANU  AU   L
 admit     LU   AU   NU   A    A    A    NU   NU   A    A    LU   NU   AU   LU
-forward   LU   AU   AU   A    A    A    AU   AU   A    A    LU   AU   AU   LU
-run       LU   AU   AU   A    A    A    AU   AU   A    A    LU   AU   AU   LU
-answer    L    A    A    A    A    A    A    A    A    A    L    A    A    L
+forward   ALU  AU   AU   A    A    A    AU   AU   A    A    ALU  AU   AU   ALU
+run       ALU  AU   AU   A    A    A    AU   AU   A    A    ALU  AU   AU   ALU
+answer    ALU  AU   AU   A    A    A    AU   AU   A    A    ALU  AU   AU   ALU
 return    L    A    A    A    A    A    A    A    A    A    L    A    A    L
 plan      C    C    C    C    C    C    C    C    CR   C    C    C    C    C
 confirm   C    C    C    C    C    C    C    C    CR   C    C    C    C    C
--- a/packages/proofs/bilberryrail/proofs/network.py
+++ b/packages/proofs/bilberryrail/proofs/network.py
@@ -27,7 +27,7 @@
 )
 from bilberryrail.proofs import trace
 from bilberryrail.proofs.deployment import ProofDeployment
-from bilberryrail.proofs.faulty_log import FaultyLog
+from bilberryrail.proofs.faulty_log import FaultyLog, unreachable
 from bilberryrail.proofs.jobs import Submission
 from bilberryrail.proofs.links import Links
 from bilberryrail.proofs.node import ProofNode
@@ -263,9 +263,13 @@
         delay += self.log.delay_s
 
         def answer(event: events.Event) -> None:  # noqa: WPS430
+            if node.name in self.log.barred:
+                event = unreachable(action)
             self._later(delay, node, event)
 
-        if isinstance(action, messages.ReadLog):
+        if node.name in self.log.barred:
+            request = partial(answer, unreachable(action))
+        elif isinstance(action, messages.ReadLog):
             request = partial(self.log.fetch, action, answer)
         else:
             request = partial(self.log.store, action.record, answer)
