--- a/packages/standins/bilberryrail/standins/processes.py
+++ b/packages/standins/bilberryrail/standins/processes.py
@@ -15,13 +15,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from types import TracebackType
-from typing import Self
+from typing import Final, Self
 
 LOOPBACK = '127.0.0.1'
 POLL_INTERVAL_S = 0.05
 #: Below the range that Linux takes ports for outgoing connections from; one
 #: of those could take a chosen port before its process listens on it.
-PORTS = range(20_000, 32_768)
+FIRST_PORT: Final = 20_000
+OUTGOING_PORTS_START: Final = 32_768
+PORTS = range(FIRST_PORT, OUTGOING_PORTS_START)
 
 
 class ProcessError(Exception):
