Give each parent in the relay eight children

Change: children_per_parent 8 instead of 16. test_one_record_with_all_members names sixteen children itself now: it subscribes 48 children, three times sixteen, and a parent takes at most four times children_per_parent. Its load and its bound are the same as before.

--- a/packages/bench/bilberryrail/bench/slope_cases.py
+++ b/packages/bench/bilberryrail/bench/slope_cases.py
@@ -35,7 +35,7 @@
 
 
 _MEMBERS: Final = (1000, 5000, 10_000, 19_000)
-_CHILDREN: Final = (0, 8, 16, 32)
+_CHILDREN: Final = (0, 4, 8, 16)
 _IMPORTS: Final = (
     'interpreter alone',
     'asyncio',
--- a/packages/bench/bilberryrail/bench/slope_messages.py
+++ b/packages/bench/bilberryrail/bench/slope_messages.py
@@ -9,6 +9,7 @@
 
 from bilberryrail.bench import slope_world as world
 from bilberryrail.control import messages
+from bilberryrail.control.settings import RelaySettings
 from bilberryrail.core.codec import encode_record
 from bilberryrail.core.load import LoadReport
 from bilberryrail.core.records import (
@@ -31,10 +32,10 @@
 _OPERATIONS: Final = 200
 _BODY_BYTES: Final = 1_048_576
 #: Place of the measured node in the relay order. It is first parent of the
-#: sixteen nodes from ``_FIRST_CHILD`` on and second parent of the next ones.
+#: nodes from ``_FIRST_CHILD`` on and second parent of the next ones.
 _INTERIOR: Final = 5
-_FIRST_CHILD: Final = 81
-_FIRST_CHILDREN: Final = 16
+_FIRST_CHILDREN: Final = RelaySettings().children_per_parent
+_FIRST_CHILD: Final = _INTERIOR * _FIRST_CHILDREN + 1
 _LOAD: Final = LoadReport(3, 20, 1, 0.0123)
 _ID: Final = '5f0c3e0f7d6b4a52a4ff32d09b1c77e1'
 
--- a/packages/control/bilberryrail/control/plane_cost_test.py
+++ b/packages/control/bilberryrail/control/plane_cost_test.py
@@ -36,7 +36,8 @@
     order = sorted(members[::3], key=_hash)
     own = order[5]
     identity = NodeIdentity(own.node, 's', own.zone, own.region, 'h', 1, 2)
-    plane = ControlPlane(RelaySettings(), identity, 5, random.Random(5))
+    settings = RelaySettings(children_per_parent=16)
+    plane = ControlPlane(settings, identity, 5, random.Random(5))
     parent = order[0]
     plane.handle(messages.LinkUp(parent), 1000)
     state = ClusterState(offset=0, members=known)
--- a/packages/control/bilberryrail/control/settings.py
+++ b/packages/control/bilberryrail/control/settings.py
@@ -55,7 +55,7 @@
     """
 
     readers_per_region: Annotated[int, msgspec.Meta(ge=1, le=16)] = 3
-    children_per_parent: Annotated[int, msgspec.Meta(ge=2, le=256)] = 16
+    children_per_parent: Annotated[int, msgspec.Meta(ge=2, le=256)] = 8
     status_interval_s: _Duration = 1.0
     refresh_interval_s: _Duration = 28_800.0
     missed_refreshes: Annotated[int, msgspec.Meta(ge=1)] = 2
--- a/packages/control/bilberryrail/control/status_exchange.py
+++ b/packages/control/bilberryrail/control/status_exchange.py
@@ -10,7 +10,7 @@
 from bilberryrail.core.ids import NodeId, Offset, RegionId, Seconds
 
 #: Reports to a parent for each summary to the children. The summary lists
-#: all availability zones, and a parent sends it to sixteen children.
+#: all availability zones, and a parent sends it to eight children.
 REPORTS_PER_SUMMARY: Final = 4
 
 
