Append Leave some time after a drain begins

Cause: a draining node left the member list within milliseconds. A caller that had just reserved there got "outcome unknown" for a booking that never ran, although the node was still up and would have said not run.

Change: a member appends Leave 0.4 s after its drain begins; peers still hear Draining at once and send no new work.

A caller that waits longer than that between reservation and submission still gets outcome unknown when the node has left.

--- a/packages/control/bilberryrail/control/announcer.py
+++ b/packages/control/bilberryrail/control/announcer.py
@@ -12,6 +12,10 @@
 
 #: Number of values of ``hash_of``.
 _HASH_RANGE: Final = 1 << HASH_BITS
+#: Time from the start of a drain to Leave, in seconds. Once a node is no
+#: member, a reservation that it issued gives "outcome unknown"; until then
+#: the node itself can say that the call did not run.
+LEAVE_DELAY_S: Final = 0.4
 
 
 class Announcer:
@@ -42,6 +46,7 @@
         self._stored_at = NO_OFFSET
         self._joined = False
         self._refresh_at = Seconds(float('inf'))
+        self._leave_at = Seconds(float('-inf'))
 
     def check(
         self,
@@ -53,7 +58,7 @@
             return
         is_member = self.is_member(state)
         if self.draining:
-            if is_member:
+            if is_member and now >= self._leave_at:
                 yield self._append_leave(now)
         elif is_member:
             yield from self._refresh(now)
@@ -62,15 +67,25 @@
             yield LogEvent(name, {'node': self.own.node})
             yield self._append_join(now)
 
-    def drain(self, now: Seconds) -> Iterator[ControlAction]:
-        """Withdraw the announcement; a Join under way is not repeated."""
+    def drain(
+        self,
+        state: ClusterState,
+        now: Seconds,
+    ) -> Iterator[ControlAction]:
+        """Withdraw the announcement; a Join under way is not repeated.
+
+        ``check`` appends the Leave of a member after ``LEAVE_DELAY_S``.
+        """
         if self.draining:
             return
         self.draining = True
         if self._record_id is not None:
             self.outbox.settle(self._record_id)
         yield LogEvent('leaving', {'node': self.own.node})
-        yield self._append_leave(now)
+        if self.is_member(state):
+            self._leave_at = Seconds(now + LEAVE_DELAY_S)
+        else:
+            yield self._append_leave(now)
 
     def contradict(self, members: Iterable[Member], now: Seconds) -> None:
         """Refresh at once if an older incarnation of this node is announced.
--- a/packages/control/bilberryrail/control/links.py
+++ b/packages/control/bilberryrail/control/links.py
@@ -33,7 +33,10 @@
         """Leave, and tell every neighbour at once."""
         own = self.parts.own
         self.parts.membership.mark_leaving(own.node, own.incarnation)
-        yield from self.parts.announcer.drain(now)
+        yield from self.parts.announcer.drain(
+            self.parts.replica.state,
+            now,
+        )
         for peer in self.parts.sources.up:
             yield SendDraining(peer)
 
