Tell operators that a change is not accepted

Cause: with the log down, the command said "no node answered (HTTP status 503)" or "no verdict yet", and not what the node had stated. Change: the node's reason is shown, and both texts say "not accepted".

--- a/packages/cli/bilberryrail/cli/client.py
+++ b/packages/cli/bilberryrail/cli/client.py
@@ -145,7 +145,7 @@
         return Ok(received)
     if status < HTTPStatus.INTERNAL_SERVER_ERROR:
         return Err(_rejection(status, received))
-    return Err(_Failed(f'HTTP status {status}'))
+    return Err(_Failed(_failure(status, received)))
 
 
 async def _exchange(method: str, url: str, body: bytes) -> tuple[int, bytes]:
@@ -168,6 +168,13 @@
     return 'connection closed before the answer'
 
 
+def _failure(status: int, body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=Rejection).error
+    except msgspec.MsgspecError:
+        return f'HTTP status {status}'
+
+
 def _rejection(status: int, body: bytes) -> BadInput:
     try:
         rejection = msgspec.json.decode(body, type=Rejection)
--- a/packages/cli/bilberryrail/cli/commands.py
+++ b/packages/cli/bilberryrail/cli/commands.py
@@ -158,7 +158,9 @@
             complain(f'rejected: {reason}. Make a new plan and confirm it.')
             return ExitCode.REJECTED
         case _:
-            complain(f'no verdict yet; the log may be away. {CONFIRM_AGAIN}')
+            complain(
+                f'not accepted so far: the log has not answered. {CONFIRM_AGAIN}'
+            )
             return ExitCode.NOT_YET_IN_FORCE
 
 
--- a/packages/cli/bilberryrail/cli/errors.py
+++ b/packages/cli/bilberryrail/cli/errors.py
@@ -34,7 +34,7 @@
         """Describe what was tried and what to do."""
         tried = '; '.join(self.attempts)
         return (
-            f'no node answered ({tried}). Check the addresses given with '
+            f'no node could do this ({tried}). Check the addresses given with '
             '--node or BILBERRYRAIL_NODES and that the nodes are running.'
         )
 
--- a/packages/node/bilberryrail/node/operator_server.py
+++ b/packages/node/bilberryrail/node/operator_server.py
@@ -66,7 +66,10 @@
                 request, HTTPStatus.BAD_REQUEST, error.field, error.reason
             )
         if not self.engine_task.engine.plane.log_available:
-            reason = 'the log service is not available; nothing was appended'
+            reason = (
+                'not accepted: the log service is not available and nothing '
+                'was appended'
+            )
             return _error(request, HTTPStatus.SERVICE_UNAVAILABLE, '', reason)
         author = request.getHeader(AUTHOR) or 'operator'
         change = change_of(read.unwrap(), author)
