--- /dev/null
+++ b/packages/proofs/bilberryrail/proofs/process_steps_test.py
@@ -0,0 +1,278 @@
+"""Steps of the scenarios on real processes.
+
+They guard against faults that only several processes together show: calls
+cut, lost, doubled or answered wrongly while a part fails, and changes that
+are not decided once and for all.
+"""
+
+import re
+import time
+import zlib
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from bilberryrail.standins.caller_report import LoadReport
+from bilberryrail.standins.demo_system import System, set_up, start_system
+from bilberryrail.standins.deployments import load_deployment, place
+from bilberryrail.standins.processes import Children
+from bilberryrail.standins.running_load import RunningLoad, start_load
+from bilberryrail.standins.waiting import wait_until
+
+scenarios('processes.feature')
+
+SPARE = 'bookings-3'
+#: Far below what the backend servers bear, so that nothing need be refused.
+CALLS_PER_S = 30
+LONGEST_LOAD_S = 60
+#: Calls that must be executed before "calls go on" is believed.
+ENOUGH_CALLS = 20
+STOP_S = 10
+
+
+@dataclass
+class Scene:
+    """What the steps of one scenario share."""
+
+    system: System
+    seed: int
+    load: RunningLoad | None = None
+    report: LoadReport | None = None
+    log_down_at: float = 0
+    zone_out: str = ''
+    plans: dict[str, str] = field(default_factory=dict)
+    printed: dict[str, tuple[int, str]] = field(default_factory=dict)
+
+    def seen(self) -> LoadReport:
+        """End the load and return what its callers saw."""
+        if self.report is None:
+            self.report = self.load.finish()
+        return self.report
+
+    def executions(self) -> int:
+        """Count all executions so far."""
+        return self.system.executions(self.system.plan.hosts)
+
+
+@pytest.fixture(scope='module')
+def system():
+    """Start the processes once; each scenario leaves them whole."""
+    plan = place(load_deployment('six-nodes'), 1)
+    with Children(STOP_S) as children:
+        started = start_system(plan, children, (SPARE,))
+        set_up(started)
+        yield started
+
+
+@pytest.fixture
+def scene(request, system):
+    """Give a scenario its own load, and mend what it broke."""
+    shown = Scene(system, zlib.crc32(request.node.name.encode()))
+    yield shown
+    if shown.load is not None:
+        shown.seen()
+    system.switch_log(mode='up')
+    if SPARE in system.nodes:
+        system.children.stop([system.nodes.pop(SPARE)])
+    for node, child in tuple(system.nodes.items()):
+        if child.process.poll() is not None:
+            system.start(node)
+    if shown.zone_out:
+        system.command('zone', 'in', shown.zone_out, '--yes')
+
+
+@given('six nodes in three availability zones')
+def started(scene):
+    assert len(scene.system.nodes) == 6
+
+
+@given('callers that look up and book')
+def loaded(scene):
+    settings = scene.system.load_settings(
+        scene.seed,
+        LONGEST_LOAD_S,
+        CALLS_PER_S,
+        patience_s=4,
+    )
+    scene.load = start_load(settings, scene.system.children)
+    calls_go_on(scene)
+
+
+@given(parsers.parse('the plan "{name}" to add the tenant "{tenant}"'))
+def plan_tenant(scene, name, tenant):
+    intent = {'tenants': [{'tenant': tenant}]}
+    scene.plans[name] = scene.system.make_plan(name, intent)
+
+
+@given(
+    parsers.parse(
+        'the plan "{name}" to give the tenant "{tenant}" the weight {weight:d}',
+    ),
+)
+def plan_weight(scene, name, tenant, weight):
+    intent = {'tenants': [{'tenant': tenant, 'weight': weight}]}
+    scene.plans[name] = scene.system.make_plan(name, intent)
+
+
+@when(parsers.parse('the node {node} is killed'))
+def kill(scene, node):
+    process = scene.system.nodes[node].process
+    process.kill()
+    process.wait()
+
+
+@when(parsers.parse('the node {node} is frozen for {seconds:d} seconds'))
+def freeze(scene, node, seconds):
+    with scene.system.frozen(node):
+        thawed_at = time.monotonic() + seconds
+        calls_go_on(scene)
+        time.sleep(max(thawed_at - time.monotonic(), 0))
+
+
+@when('the log service goes down')
+def log_down(scene):
+    scene.system.switch_log(mode='down')
+    scene.log_down_at = time.monotonic()
+
+
+@when(parsers.parse('the new node {node} is started'))
+def start_spare(scene, node):
+    scene.system.start(node)
+
+
+@when(
+    parsers.parse(
+        'the log service has been down for {seconds:d} seconds and returns',
+    ),
+)
+def log_up(scene, seconds):
+    left = scene.log_down_at + seconds - time.monotonic()
+    time.sleep(max(left, 0))
+    scene.system.switch_log(mode='up')
+
+
+@when('the log service loses the answer to the next append')
+def lose_answer(scene):
+    scene.system.switch_log(lose_answers=1)
+
+
+@when('every node is replaced one after another')
+def replace_all(scene):
+    for node in tuple(scene.system.nodes):
+        assert scene.system.replace(scene.system.host(node)) == 0
+
+
+@when(parsers.parse('the availability zone {zone} is taken out'))
+def zone_out(scene, zone):
+    scene.zone_out = zone
+    scene.system.command('zone', 'out', zone, '--yes')
+
+
+@when(parsers.parse('"{one}" and "{other}" are confirmed at the same time'))
+def confirm_both(scene, one, other):
+    with ThreadPoolExecutor() as operators:
+        futures = {
+            name: operators.submit(confirm, scene, name)
+            for name in (one, other)
+        }
+    scene.printed = {name: found.result() for name, found in futures.items()}
+
+
+@then('calls go on')
+def calls_go_on(scene):
+    before = scene.executions()
+    wait_until(
+        lambda: scene.executions() >= before + ENOUGH_CALLS,
+        f'{ENOUGH_CALLS} more calls executed',
+    )
+
+
+@then('no call was lost')
+def none_lost(scene):
+    report = scene.seen()
+    assert (report.lost, report.missing) == (0, 0), report
+
+
+@then('no booking ran twice')
+def none_doubled(scene):
+    report = scene.seen()
+    assert (report.doubled, report.false_not_run) == (0, 0), report
+
+
+@then('every answer reached the caller it was meant for')
+def none_wrong(scene):
+    report = scene.seen()
+    assert (report.wrong, report.invalid) == (0, 0), report
+
+
+@then('no call was cut')
+def none_cut(scene):
+    report = scene.seen()
+    assert (report.cut, report.has_violations) == (0, False), report
+
+
+@then(parsers.parse('the backend server of {node} gets calls'))
+def gets_calls(scene, node):
+    hosts = (scene.system.host(node),)
+    wait_until(
+        lambda: scene.system.executions(hosts) > 0,
+        f'a call at {node}',
+    )
+
+
+@then(
+    parsers.parse('confirming the plan "{name}" says that it is not accepted'),
+)
+def confirm_fails(scene, name):
+    status, printed = confirm(scene, name, '--wait', '1')
+    assert status != 0, printed
+    assert 'Accepted' not in printed
+    assert 'not accepted' in printed
+
+
+@then(parsers.parse('the plan "{name}" can be confirmed'))
+def confirm_works(scene, name):
+    # A node notices at its next try that the log is back.
+    wait_until(lambda: is_confirmed(scene, name), f'{name} in force')
+
+
+@then(parsers.parse('confirming the plan "{name}" again names the same change'))
+def same_change(scene, name):
+    first = offset_in(scene.printed[name][1])
+    assert offset_in(confirm(scene, name)[1]) == first
+
+
+@then(parsers.parse('{zone} gets no calls later than 3 seconds after'))
+def no_late_calls(scene, zone):
+    time.sleep(3)
+    before = scene.system.executions_in(zone)
+    calls_go_on(scene)
+    assert scene.system.executions_in(zone) == before
+
+
+@then('exactly one of them is accepted')
+def one_accepted(scene):
+    statuses = sorted(status for status, _ in scene.printed.values())
+    assert statuses == [0, 1], scene.printed
+
+
+@then('the other operator is told the reason')
+def reason_told(scene):
+    (told,) = (text for status, text in scene.printed.values() if status)
+    assert re.search('rejected: .*tenant/clubs', told), told
+
+
+def confirm(scene, name, *options):
+    """Confirm a plan; returns the exit status and what was printed."""
+    return scene.system.try_command('confirm', scene.plans[name], *options)
+
+
+def is_confirmed(scene, name):
+    scene.printed[name] = confirm(scene, name)
+    return scene.printed[name][0] == 0
+
+
+def offset_in(printed):
+    return re.search(r'Accepted at offset (\d+)', printed)[1]
--- a/packages/standins/bilberryrail/standins/demo_system.py
+++ b/packages/standins/bilberryrail/standins/demo_system.py
@@ -1,8 +1,11 @@
 """Starts a deployment on loopback and reaches it as operators do."""
 
+import contextlib
+import signal
 import subprocess
 import sys
 import time
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -16,6 +19,7 @@
 )
 from bilberryrail.standins.endpoint import Endpoint
 from bilberryrail.standins.load_settings import (
+    DEFAULT_PATIENCE_S,
     LoadNode,
     LoadService,
     LoadSettings,
@@ -71,12 +75,7 @@
         """
         old = self.nodes[host.identity.node]
         status = self.children.stop([old])[old.name]
-        self.nodes[host.identity.node] = start_node(
-            self.plan,
-            host,
-            self.children,
-        )
-        self.wait_until_serving(host)
+        self.start(host.identity.node)
         return status
 
     def wait_until_serving(self, host: HostPlan) -> None:
@@ -92,6 +91,22 @@
         DemoError
             If the command fails or takes too long.
         """
+        status, printed = self.try_command(*arguments)
+        if status:
+            raise DemoError(
+                f'bilberryrail {" ".join(arguments)} ended with status '
+                f'{status}:\n{printed}',
+            )
+        return printed
+
+    def try_command(self, *arguments: str) -> tuple[int, str]:
+        """Run the operators' command; returns its status and output.
+
+        Raises
+        ------
+        DemoError
+            If the command takes too long.
+        """
         addresses = [
             word
             for host in self.plan.hosts[:OPERATOR_ADDRESSES]
@@ -108,19 +123,59 @@
             )
         except subprocess.TimeoutExpired as error:
             raise DemoError(f'{arguments} took too long') from error
-        if done.returncode:
-            raise DemoError(
-                f'bilberryrail {" ".join(arguments)} ended with status '
-                f'{done.returncode}:\n{done.stdout}{done.stderr}',
-            )
-        return done.stdout
+        return done.returncode, done.stdout + done.stderr
+
+    def make_plan(self, name: str, intent: object) -> str:
+        """Let the operators' command plan an intent; returns the plan's path.
+
+        Raises
+        ------
+        DemoError
+            If the intent is refused.
+        """
+        children = self.children
+        path = children.write(f'{name}.json', msgspec.json.encode(intent))
+        plan_path = children.directory / f'{name}.plan.json'
+        self.command('plan', str(path), '--out', str(plan_path))
+        return str(plan_path)
+
+    def switch_log(self, **faults: object) -> None:
+        """Set the faults of the log service; see section 8.2 of the design."""
+        Endpoint(self.plan.log_port).json('POST', '/faults', faults)
+
+    def host(self, node: str) -> HostPlan:
+        """Find the host of a node."""
+        return next(
+            host for host in self.plan.hosts if host.identity.node == node
+        )
+
+    def start(self, node: str) -> None:
+        """Start the node of a host and wait until it serves."""
+        host = self.host(node)
+        self.nodes[host.identity.node] = start_node(
+            self.plan,
+            host,
+            self.children,
+        )
+        self.wait_until_serving(host)
+
+    @contextlib.contextmanager
+    def frozen(self, node: str) -> Iterator[None]:
+        """Stop a node's process, and let it run on at the end."""
+        process = self.nodes[self.host(node).identity.node].process
+        process.send_signal(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            process.send_signal(signal.SIGCONT)
+
+    def executions(self, hosts: Iterable[HostPlan]) -> int:
+        """Count the calls that were started on some hosts."""
+        return sum(self._count(host.backend.port).total for host in hosts)
 
     def executions_in(self, zone: AvailabilityZoneId) -> int:
         """Count the calls that were started in one availability zone."""
-        return sum(
-            self._count(host.backend.port).total
-            for host in self.plan.in_zone(zone)
-        )
+        return self.executions(self.plan.in_zone(zone))
 
     def cold_excess(self) -> int:
         """Return the worst cold overload among all backend servers."""
@@ -134,6 +189,7 @@
         seed: int,
         seconds: float,
         rate: float,
+        patience_s: float = DEFAULT_PATIENCE_S,
     ) -> LoadSettings:
         """Make the settings of a load on all services."""
         deployment = self.plan.deployment
@@ -157,6 +213,7 @@
             seed=seed,
             seconds=seconds,
             rate=rate,
+            patience_s=patience_s,
         )
 
     def _count(self, port: int) -> ExecutionCount:
@@ -164,17 +221,28 @@
         return msgspec.json.decode(body, type=ExecutionCount)
 
 
-def start_system(plan: DeploymentPlan, children: Children) -> System:
-    """Start log service, backend servers and nodes; wait until they serve."""
+def start_system(
+    plan: DeploymentPlan,
+    children: Children,
+    spare: tuple[str, ...] = (),
+) -> System:
+    """Start log service, backend servers and nodes; wait until they serve.
+
+    Parameters
+    ----------
+    spare
+        Nodes that are not started yet.
+    """
     _start_log(plan, children)
     _start_backends(plan, children)
     nodes = {
         host.identity.node: start_node(plan, host, children)
         for host in plan.hosts
+        if host.identity.node not in spare
     }
     system = System(plan, children, nodes)
-    for host in plan.hosts:
-        system.wait_until_serving(host)
+    for node in nodes:
+        system.wait_until_serving(system.host(node))
     return system
 
 
@@ -205,7 +273,7 @@
 
 
 def _wait_for_members(system: System) -> None:
-    wanted = len(system.plan.hosts)
+    wanted = len(system.nodes)
     give_up_at = time.monotonic() + JOIN_TIMEOUT_S
     while True:
         printed = system.command('status', '--json')
--- a/packages/standins/bilberryrail/standins/load_settings.py
+++ b/packages/standins/bilberryrail/standins/load_settings.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+#: Time after which a caller submits its call no more, in seconds.
+DEFAULT_PATIENCE_S = 10.0
+
 
 class LoadService(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A service that callers use."""
@@ -40,4 +43,4 @@
     seconds: float = 10.0
     rate: float = 50.0
     deadline_s: float = 1.0
-    patience_s: float = 10.0
+    patience_s: float = DEFAULT_PATIENCE_S
