--- a/packages/control/bilberryrail/control/announcer.py
+++ b/packages/control/bilberryrail/control/announcer.py
@@ -58,8 +58,7 @@
             return
         is_member = self.is_member(state)
         if self.draining:
-            if is_member and now >= self._leave_at:
-                yield self._append_leave(now)
+            yield from self._leave_if_due(is_member, now)
         elif is_member:
             yield from self._refresh(now)
         elif not self._is_superseded(state):
@@ -136,6 +135,14 @@
             self._refresh_at = Seconds(now + interval)
             yield self._append_join(now)
 
+    def _leave_if_due(
+        self,
+        is_member: bool,
+        now: Seconds,
+    ) -> Iterator[ControlAction]:
+        if is_member and now >= self._leave_at:
+            yield self._append_leave(now)
+
     def _append_join(self, now: Seconds) -> ControlAction:
         self._record_id = self.outbox.new_id()
         return self.outbox.append(Join(self._record_id, self.own), now)
--- a/packages/control/bilberryrail/control/plane_test.py
+++ b/packages/control/bilberryrail/control/plane_test.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from bilberryrail.control import messages
+from bilberryrail.control.announcer import LEAVE_DELAY_S
 from bilberryrail.control.directory import hash_of
 from bilberryrail.control.settings import RelaySettings
 from bilberryrail.core.ids import Incarnation, NodeId, Offset
@@ -80,6 +81,15 @@
     assert not plane.parts.board.children
 
 
+def test_draining_node_stays_a_member_for_a_moment(network):
+    """Guards against tokens that nobody can ask the drained node about."""
+    network.give('n5', messages.DrainRequested())
+    network.run(LEAVE_DELAY_S / 2)
+    assert 'n5' in network.planes['n1'].state.members
+    network.run(LEAVE_DELAY_S + 2)
+    assert 'n5' not in network.planes['n1'].state.members
+
+
 def test_reader_dies(network):
     """Guards against a region without a reader, and a dead member kept."""
     victim = network.readers()[0]
--- a/packages/standins/bilberryrail/standins/caller_calls.py
+++ b/packages/standins/bilberryrail/standins/caller_calls.py
@@ -17,6 +17,7 @@
     NoAnswer,
     NotSent,
     Refused,
+    Submission,
     answer_fault,
 )
 from bilberryrail.standins.caller_report import (
@@ -179,9 +180,8 @@
             call.deadline_s,
         )
         self.reasons[_label(kind, answer)] += 1
-        match answer:
-            case NoAnswer() | Refused(outcome='unknown'):
-                progress.cut = True
+        if isinstance(answer, NoAnswer) or _is_unknown(answer):
+            progress.cut = True
         return answer
 
     def _nodes_for(self, call: Call) -> tuple[LoadNode, ...]:
@@ -218,6 +218,10 @@
             )
 
 
+def _is_unknown(answer: Submission) -> bool:
+    return isinstance(answer, Refused) and answer.outcome == 'unknown'
+
+
 def _label(kind: str, answer: Completed | Refused | NotSent | NoAnswer) -> str:
     match answer:
         case Completed(status=status):
