Let only calls that are sent earn probes

Cause: a call earned its share of a probe when it was placed. While links were down, each call was placed up to three times without being sent, so probes exceeded the share of calls sent that the settings allow, and came as a burst when the links were back.

Change: a call earns its share when it is sent.

--- a/packages/policy/bilberryrail/policy/routing_test.py
+++ b/packages/policy/bilberryrail/policy/routing_test.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from bilberryrail.control.messages import LinkUp, OpenLink
 from bilberryrail.core.load import Outcome, Reason
 from bilberryrail.policy import actions, events
 from bilberryrail.policy.estimates import EstimateBook
@@ -160,6 +161,20 @@
     assert len(rig.ends) == 1
 
 
+def test_calls_that_were_not_sent_earn_no_probes():
+    """Guards against a burst of probes when broken links come back."""
+    rig = Rig(auto_link=False)
+    for _ in range(20):
+        rig.arrive(deadline_s=0.05)
+    rig.wait(0.1)
+    assert not rig.sent
+    for opened in rig.of_type(OpenLink):
+        rig.feed(LinkUp(rig.view.member(opened.peer)))
+    rig.arrive()
+    assert len(rig.sent) == 1
+    assert not rig.of_type(actions.SendProbe)
+
+
 def test_probes_stay_within_every_budget():
     """Guards against load measurement above its budget."""
     limits = ProbeSettings(share_of_calls=0.5, probes_per_s=4, bytes_per_s=96)
--- a/packages/policy/bilberryrail/policy/sending.py
+++ b/packages/policy/bilberryrail/policy/sending.py
@@ -131,13 +131,14 @@
         self.router.charge(member, call.size, now)
         if self.open_link(member):
             self.send(attempt, now)
-        self.prober.call_sent()
         self.probe(self._group(call, view), now)
 
     def send(self, attempt: Attempt, now: Seconds) -> None:
         """Send an attempt over a link that is up."""
         call = attempt.call
         attempt.sent_at = now
+        # A call that waits for a link earns no probes until it is sent.
+        self.prober.call_sent()
         limits = call.limits(attempt.share, now)
         if call.kind is CallKind.RESERVATION:
             action: Action = SendReservation(
