--- a/packages/proofs/bilberryrail/proofs/checkers.py
+++ b/packages/proofs/bilberryrail/proofs/checkers.py
@@ -182,17 +182,19 @@
 
 def leaving_servers(notes: Notes, rules: Rules) -> Iterator[str]:
     """8: A leaving backend server gets no new work after 3 s."""
-    since: dict[str, float] = {}
+    since: dict[tuple[str, int | None], float] = {}
     for note in notes:
-        match note:
-            case trace.Leaving(at=at, node=node):
-                since.setdefault(node, at)
-            case trace.Stopped(node=node):
-                since.pop(node, None)
-            case trace.Executed() if note.node in since:
-                late_s = note.at - since[note.node]
-                if late_s > NEW_WORK_STOPS_S:
-                    yield f'{note.node} got work {late_s:.3f} s after leaving'
+        if isinstance(note, trace.Leaving):
+            since.setdefault((note.node, note.incarnation), note.at)
+        if not isinstance(note, trace.Executed):
+            continue
+        left_at = min(
+            since.get((note.node, None), note.at),
+            since.get((note.node, note.incarnation), note.at),
+        )
+        if note.at - left_at > NEW_WORK_STOPS_S:
+            late_s = note.at - left_at
+            yield f'{note.node} got work {late_s:.3f} s after leaving'
 
 
 def drains(notes: Notes, rules: Rules) -> Iterator[str]:
--- a/packages/proofs/bilberryrail/proofs/faults.py
+++ b/packages/proofs/bilberryrail/proofs/faults.py
@@ -32,7 +32,7 @@
     if not node.alive:
         return
     node.alive = False
-    world.recorder.reach(node.name, able=False)
+    world.note_reach()
     for dispatch in tuple(node.running):
         node.backend.cancel(dispatch)
     for peer in world.live():
@@ -48,7 +48,7 @@
     fresh = world.make_node(node.identity, node.backend, f'{world.seed}/{name}')
     fresh.backend_down = node.backend_down
     world.nodes[name] = fresh
-    world.recorder.reach(name, able=True)
+    world.note_reach()
     world.handle(fresh, messages.Tick())
 
 
@@ -56,7 +56,7 @@
     """Pause the process of a node."""
     if node.alive:
         node.frozen = True
-        world.recorder.reach(node.name, able=False)
+        world.note_reach()
 
 
 def thaw(world: World, node: ProofNode) -> None:
@@ -67,20 +67,17 @@
 
 def cut(world: World, node: ProofNode) -> None:
     """Break all links of a node and let none be opened."""
-    world.recorder.reach(node.name, able=False)
-    for peer in world.nodes.values():
+    world.links.cut.add(node.name)
+    world.note_reach()
+    for peer in world.live():
         if peer.name != node.name:
-            world.links.cut.add(frozenset((node.name, peer.name)))
             world.break_link(node, peer)
 
 
 def mend(world: World, node: ProofNode) -> None:
     """Let links of a node be opened again."""
-    world.links.cut = {
-        pair for pair in world.links.cut if node.name not in pair
-    }
-    if world.nodes[node.name].alive:
-        world.recorder.reach(node.name, able=True)
+    world.links.cut.discard(node.name)
+    world.note_reach()
 
 
 def slow(world: World, node: ProofNode) -> None:
@@ -98,16 +95,13 @@
 def log_down(world: World, _: ProofNode) -> None:
     """Take the log service down."""
     world.log.down = True
-    for name in world.nodes:
-        world.recorder.reach(name, able=False)
+    world.note_reach()
 
 
 def log_up(world: World, _: ProofNode) -> None:
     """Bring the log service back."""
     world.log.down = False
-    for node in world.live():
-        if not node.frozen:
-            world.recorder.reach(node.name, able=True)
+    world.note_reach()
 
 
 def lose_log_answers(world: World, _: ProofNode) -> None:
--- a/packages/proofs/bilberryrail/proofs/faulty_log.py
+++ b/packages/proofs/bilberryrail/proofs/faulty_log.py
@@ -83,11 +83,15 @@
             )
 
     def expire(self) -> bool:
-        """Drop what precedes the newest snapshot; tell if there is one."""
+        """Drop what the newest snapshot covers; tell if there is one.
+
+        What follows the covered records stays, so retention is longer than
+        the append of a snapshot takes.
+        """
         for entry in reversed(self.entries):
             record = entry.record
             if isinstance(record, SnapshotPart) and not record.index:
-                self.first = entry.offset
+                self.first = Offset(record.up_to + 1)
                 return True
         return False
 
--- a/packages/proofs/bilberryrail/proofs/links.py
+++ b/packages/proofs/bilberryrail/proofs/links.py
@@ -16,7 +16,7 @@
     Attributes
     ----------
     cut
-        Pairs between which no link can be opened.
+        Nodes that no link can be opened to or from.
     extra_s
         Added latency of all messages to and from a node.
     """
@@ -31,7 +31,7 @@
         self.zones = {
             identity.node: identity.zone for identity in deployment.identities()
         }
-        self.cut: set[Pair] = set()
+        self.cut: set[NodeId] = set()
         self.extra_s: dict[NodeId, float] = {}
         self._numbers = count(1)
         self._up: dict[Pair, int] = {}
@@ -45,7 +45,7 @@
 
     def is_cut(self, node: NodeId, peer: NodeId) -> bool:
         """Tell whether no link can be opened."""
-        return frozenset((node, peer)) in self.cut
+        return bool(self.cut & {node, peer})
 
     def open(self, node: NodeId, peer: NodeId) -> None:
         """Open a link unless there is one."""
--- a/packages/proofs/bilberryrail/proofs/network.py
+++ b/packages/proofs/bilberryrail/proofs/network.py
@@ -116,6 +116,14 @@
         super().handle(node, event)
         self.recorder.observe(node)
 
+    def note_reach(self) -> None:
+        """Note which nodes can now learn what the log holds."""
+        for node in self.nodes.values():
+            able = node.alive and not (
+                node.frozen or self.log.down or node.name in self.links.cut
+            )
+            self.recorder.reach(node.name, able=able)
+
     def live(self) -> list[ProofNode]:
         """List the nodes that are neither killed nor stopped."""
         return [node for node in self.nodes.values() if node.alive]
@@ -150,7 +158,7 @@
         )
         self.hang_up(node)
         node.alive = False
-        self.recorder.reach(node.name, able=False)
+        self.note_reach()
         for peer in self.live():
             self.break_link(node, peer)
 
--- a/packages/proofs/bilberryrail/proofs/recorder.py
+++ b/packages/proofs/bilberryrail/proofs/recorder.py
@@ -20,6 +20,7 @@
         self.notes: list[trace.Note] = []
         #: Submission of each attempt, by ingress and attempt.
         self.routes: dict[tuple[NodeId, int], int] = {}
+        self._able: dict[NodeId, bool] = {}
         self._cause: str | None = None
 
     def add(self, note: trace.Note) -> None:
@@ -57,7 +58,9 @@
 
     def reach(self, node: NodeId, *, able: bool) -> None:
         """Note that a node can or cannot learn what the log holds."""
-        self.add(trace.Reach(self.scheduler.now, node, able))
+        if self._able.get(node) is not able:
+            self._able[node] = able
+            self.add(trace.Reach(self.scheduler.now, node, able))
 
     def held(self, node: ProofNode, *, agrees: bool) -> None:
         """Note the configuration of a node at the end."""
@@ -107,7 +110,8 @@
             case events.BackendFailed(started=False):
                 node.known_boot = node.backend.boots
             case messages.DrainRequested():
-                self.add(trace.Leaving(self.scheduler.now, node.name))
+                now = self.scheduler.now
+                self.add(trace.Leaving(now, node.name, node.incarnation))
 
     def observe(self, node: ProofNode) -> None:
         """Note how far a node has applied the log."""
--- a/packages/proofs/bilberryrail/proofs/trace.py
+++ b/packages/proofs/bilberryrail/proofs/trace.py
@@ -171,10 +171,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Leaving:
-    """A node was told to drain, or its backend server began to drain."""
+    """A node was told to drain, or its backend server began to drain.
+
+    ``incarnation`` is None if the backend server leaves.
+    """
 
     at: float
     node: NodeId
+    incarnation: Incarnation | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/proofs/bilberryrail/proofs/world.py
+++ b/packages/proofs/bilberryrail/proofs/world.py
@@ -38,8 +38,7 @@
 
     def start(self) -> None:
         """Publish the first configuration and start all engines."""
-        for name in self.nodes:
-            self.recorder.reach(name, able=True)
+        self.note_reach()
         super().start()
 
     def publish(self, edits: tuple[Edit, ...]) -> None:
@@ -75,7 +74,7 @@
     def resume(self, node: ProofNode) -> None:
         """Continue a paused process; what waited in sockets comes first."""
         node.frozen = False
-        self.recorder.reach(node.name, able=True)
+        self.note_reach()
         unsent = tuple(node.unsent)
         node.unsent.clear()
         for action in unsent:
