Group only the services that changed when the view is renewed

Cause: each change, join and leave built the view of all members anew, which blocked the event loop for 8 to 15 ms at 19,000 members; 1.2 to 1.6% of calls waited for it, so the 99th percentile was 2.5 to 6 ms by calculation.

Change: a view is made from the earlier one; members are compared by identity and only touched services are grouped. Replay keeps the members object when an entry does not touch it.

--- a/packages/control/bilberryrail/control/replay.py
+++ b/packages/control/bilberryrail/control/replay.py
@@ -71,6 +71,8 @@
     """Private mutable copy of a state during one replay."""
 
     def __init__(self, state: ClusterState) -> None:
+        self._before = state
+        self._touches_members = False
         self._offset = state.offset
         self._services = dict(state.services)
         self._tenants = dict(state.tenants)
@@ -80,12 +82,17 @@
         self._outcomes = dict(state.outcomes)
 
     def build(self) -> ClusterState:
+        # Unchanged members stay the same object, so that views need not look
+        # for differences among them.
+        members = self._before.members
+        if self._touches_members:
+            members = self._members
         return ClusterState(
             offset=self._offset,
             services=self._services,
             tenants=self._tenants,
             zones=self._zones,
-            members=self._members,
+            members=members,
             touched=self._touched,
             outcomes=self._outcomes,
         )
@@ -100,6 +107,7 @@
             case Change() as change:
                 return self._apply_change(entry.offset, change)
             case Join(member=member):
+                self._touches_members = True
                 self._members[member.node] = Announcement(member, entry.offset)
             case Leave() as leave:
                 self._apply_leave(leave)
@@ -172,6 +180,7 @@
         if announcement is None:
             return
         if announcement.member.incarnation == leave.incarnation:
+            self._touches_members = True
             self._members.pop(leave.node)
 
     def _apply_evict(self, evict: Evict) -> None:
@@ -180,4 +189,5 @@
             return
         seen = (announcement.member.incarnation, announcement.last_seen)
         if seen == (evict.incarnation, evict.last_seen):
+            self._touches_members = True
             self._members.pop(evict.node)
--- a/packages/control/bilberryrail/control/replay_test.py
+++ b/packages/control/bilberryrail/control/replay_test.py
@@ -145,6 +145,13 @@
     assert state.offset == 1
 
 
+def test_a_change_leaves_the_members_object_alone():
+    """A copy would make each view compare 19,000 members for a change."""
+    joined, _ = replay(EMPTY, log(Join('j1', member())))
+    entry = LogEntry(1, change('a', 0, service_edit()))
+    assert replay(joined, [entry])[0].members is joined.members
+
+
 def test_gap_is_an_error():
     """A missing record would make this node differ from the others."""
     with pytest.raises(ValueError, match='does not follow'):
--- a/packages/policy/bilberryrail/policy/engine.py
+++ b/packages/policy/bilberryrail/policy/engine.py
@@ -64,7 +64,7 @@
         self.plane = self.parts.plane
         self.guard = PauseGuard(settings.pause)
         self.holding = HoldingArea()
-        self.view = self._make_view()
+        self.view = self._make_view(None)
         self.draining = False
         self.stopped = False
         self._version = self.parts.plane.view_version
@@ -275,13 +275,14 @@
         version = self.parts.plane.view_version
         if version != self._version:
             self._version = version
-            self.view = self._make_view()
+            self.view = self._make_view(self.view)
 
-    def _make_view(self) -> ClusterView:
+    def _make_view(self, previous: ClusterView | None) -> ClusterView:
         plane = self.parts.plane
         return ClusterView(
             plane.state,
             self.settings.identity,
             plane.unlogged,
             frozenset(plane.leaving),
+            previous,
         )
--- a/packages/policy/bilberryrail/policy/view.py
+++ b/packages/policy/bilberryrail/policy/view.py
@@ -1,7 +1,7 @@
 """Read-only queries on the replayed state, for both roles of a node."""
 
 from collections import defaultdict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from bilberryrail.control.settings import NodeIdentity
 from bilberryrail.core.ids import (
@@ -33,6 +33,10 @@
         Members whose announcement could not yet be appended.
     leaving
         Members that said they are draining.
+    previous
+        An earlier view of the same node. Only services that differ from it
+        are grouped again: grouping 19,000 members takes 8 to 15 ms, in which
+        calls would wait.
 
     Attributes
     ----------
@@ -46,17 +50,25 @@
         identity: NodeIdentity,
         unlogged: Mapping[NodeId, Member],
         leaving: frozenset[NodeId],
+        previous: 'ClusterView | None' = None,
     ) -> None:
         self.state = state
         self.identity = identity
+        self.unlogged = dict(unlogged)
         self.leaving = leaving
-        self._members = {
-            node: announcement.member
-            for node, announcement in state.members.items()
-        }
-        self._members.update(unlogged)
-        self.has_peers = any(node != identity.node for node in self._members)
-        self._candidates = self._group_by_service()
+        self.has_peers = any(
+            node != identity.node
+            for members in (state.members, self.unlogged)
+            for node in members
+        )
+        if previous is None:
+            self._by_service: dict[ServiceId, dict[NodeId, Member]] = {}
+            self._candidates: dict[ServiceId, tuple[Member, ...]] = {}
+            self._group_all()
+        else:
+            self._by_service = dict(previous._by_service)
+            self._candidates = dict(previous._candidates)
+            self._group_touched(previous)
 
     @property
     def offset(self) -> Offset:
@@ -73,7 +85,11 @@
 
     def member(self, node: NodeId) -> Member | None:
         """Look up a member by its node."""
-        return self._members.get(node)
+        unlogged = self.unlogged.get(node)
+        if unlogged is not None:
+            return unlogged
+        announcement = self.state.members.get(node)
+        return None if announcement is None else announcement.member
 
     def is_zone_out(self, zone: AvailabilityZoneId) -> bool:
         """Tell whether operators have taken an availability zone out."""
@@ -98,17 +114,79 @@
             member for member in members if member.region in home_regions
         )
 
-    def _group_by_service(self) -> dict[ServiceId, tuple[Member, ...]]:
-        groups: dict[ServiceId, list[Member]] = defaultdict(list)
-        for member in self._members.values():
-            if self._takes_work(member):
-                groups[member.service].append(member)
-        return {
-            service: tuple(sorted(members, key=lambda found: found.node))
-            for service, members in groups.items()
-        }
-
-    def _takes_work(self, member: Member) -> bool:
+    def _group_all(self) -> None:
+        groups: dict[ServiceId, dict[NodeId, Member]] = defaultdict(dict)
+        nodes = {**self.state.members, **self.unlogged}
+        for node in nodes:
+            member = self.member(node)
+            if member is not None:
+                groups[member.service][node] = member
+        self._by_service = dict(groups)
+        self._choose_candidates(self._by_service)
+
+    def _group_touched(self, previous: 'ClusterView') -> None:
+        """Group the services again that differ from an earlier view."""
+        touched = set(self._changed_configurations(previous))
+        for node in self._changed_nodes(previous):
+            touched.update(self._move(node, previous.member(node)))
+        for node in self.leaving ^ previous.leaving:
+            member = self.member(node)
+            if member is not None:
+                touched.add(member.service)
+        self._choose_candidates(touched)
+
+    def _changed_nodes(self, previous: 'ClusterView') -> set[NodeId]:
+        """Name nodes whose announcement is new, replaced or gone."""
+        changed = previous.unlogged.keys() | self.unlogged.keys()
+        before, after = previous.state.members, self.state.members
+        if before is after:
+            return changed
+        # Identity is compared because equality of 19,000 members costs more
+        # than grouping them.
+        changed.update(
+            node
+            for node, announcement in after.items()
+            if before.get(node) is not announcement
+        )
+        changed.update(node for node in before if node not in after)
+        return changed
+
+    def _changed_configurations(
+        self,
+        previous: 'ClusterView',
+    ) -> Iterable[ServiceId]:
+        if self.state.zones != previous.state.zones:
+            return self._by_service
+        before, after = previous.state.services, self.state.services
+        return [
+            service
+            for service in before.keys() | after.keys()
+            if before.get(service) is not after.get(service)
+        ]
+
+    def _move(self, node: NodeId, before: Member | None) -> set[ServiceId]:
+        """Enter a changed member; return the services that it touches."""
+        touched: set[ServiceId] = set()
+        if before is not None:
+            group = dict(self._by_service.get(before.service, {}))
+            group.pop(node, None)
+            self._by_service[before.service] = group
+            touched.add(before.service)
+        after = self.member(node)
+        if after is not None:
+            group = dict(self._by_service.get(after.service, {}))
+            group[node] = after
+            self._by_service[after.service] = group
+            touched.add(after.service)
+        return touched
+
+    def _choose_candidates(self, services: Iterable[ServiceId]) -> None:
+        for service in services:
+            group = self._by_service.get(service, {})
+            taken = [node for node in sorted(group) if self._takes(group[node])]
+            self._candidates[service] = tuple(group[node] for node in taken)
+
+    def _takes(self, member: Member) -> bool:
         config = self.state.services.get(member.service)
         return (
             config is not None
