--- a/packages/control/bilberryrail/control/announcer.py
+++ b/packages/control/bilberryrail/control/announcer.py
@@ -47,6 +47,7 @@
         self._joined = False
         self._refresh_at = Seconds(float('inf'))
         self._leave_at = Seconds(float('-inf'))
+        self.has_left = False
 
     def check(
         self,
@@ -150,4 +151,5 @@
     def _append_leave(self, now: Seconds) -> ControlAction:
         self._record_id = self.outbox.new_id()
         leave = Leave(self._record_id, self.own.node, self.own.incarnation)
+        self.has_left = True
         return self.outbox.append(leave, now)
--- a/packages/control/bilberryrail/control/plane.py
+++ b/packages/control/bilberryrail/control/plane.py
@@ -68,6 +68,11 @@
         """When the log or a source last stated a current offset."""
         return self.parts.replica.current_at
 
+    @property
+    def has_left(self) -> bool:
+        """Whether a drain has come so far that Leave was appended."""
+        return self.parts.announcer.has_left
+
     @property
     def log_available(self) -> bool:
         """Whether the log answered when this node last asked it."""
--- a/packages/policy/bilberryrail/policy/engine.py
+++ b/packages/policy/bilberryrail/policy/engine.py
@@ -263,11 +263,17 @@
         return self.parts.target.outcome_refused(event.token)
 
     def _stop(self) -> tuple[Action, ...]:
-        """Stop once a drain has let everything finish."""
+        """Stop once a drain has let everything finish.
+
+        A process that ended before its Leave was appended would stay a member
+        until it is evicted.
+        """
         if not self.draining or self.stopped or self.guard.draining_input:
             return ()
         if not (self.parts.target.idle and self.parts.ingress.idle):
             return ()
+        if not self.plane.has_left:
+            return ()
         self.stopped = True
         return (Stop(),)
 
--- a/packages/policy/bilberryrail/policy/engine_test.py
+++ b/packages/policy/bilberryrail/policy/engine_test.py
@@ -33,6 +33,7 @@
         self.unlogged = {}
         self.leaving = frozenset()
         self.caught_up = True
+        self.has_left = True
         self.current_at = START
         self.wakeup_at = START + 100
         self.closing = ()
@@ -187,6 +188,19 @@
     assert only(done, actions.Stop) == [actions.Stop()]
 
 
+def test_drain_does_not_stop_before_leave_is_appended():
+    """Guards against a replaced node that stays a member for hours."""
+    engine = make_engine()
+    engine.parts.plane.has_left = False
+    assert not only(
+        engine.handle(messages.DrainRequested(), START),
+        actions.Stop,
+    )
+    engine.parts.plane.has_left = True
+    done = engine.handle(messages.Tick(), START + 0.1)
+    assert only(done, actions.Stop) == [actions.Stop()]
+
+
 def test_view_is_rebuilt_only_for_a_new_version():
     """Guards against grouping 19,000 members again for each event."""
     engine = make_engine()
--- a/packages/policy/bilberryrail/policy/parts.py
+++ b/packages/policy/bilberryrail/policy/parts.py
@@ -28,6 +28,8 @@
         Changes whenever ``state``, ``unlogged`` or ``leaving`` changes, but
         not when members merely refresh: building a view of 19,000 members
         takes 7 ms, and several refresh every second.
+    has_left
+        Whether a drain has come so far that the node's Leave was appended.
     current_at
         When the log or a peer last stated a current offset.
     """
@@ -37,6 +39,7 @@
     unlogged: Mapping[NodeId, Member]
     leaving: frozenset[NodeId]
     caught_up: bool
+    has_left: bool
     current_at: Seconds
     wakeup_at: Seconds
 
