Keep other regions out of the reports of children

Cause: while nodes disagree on who is suspected, a reader can be a child in the view of another reader. Its report lists other regions as well. They became part of the other reader's subtree, were merged with their old ages, and replaced newer summaries again and again: 30 s after a reader had been killed or frozen, status said that a region was last heard from 18 s ago, and an accepted change was not reported as in force within 15 s.

Change: of a child's report only the own region counts.

The new test fails without the change.

While views differ, nodes may still be counted twice.

--- a/packages/control/bilberryrail/control/plane_test.py
+++ b/packages/control/bilberryrail/control/plane_test.py
@@ -81,6 +81,26 @@
     assert not plane.parts.board.children
 
 
+def test_subtree_of_a_child_holds_no_other_region(network):
+    """Guards against old summaries of a region that replace newer ones."""
+    first = min(_names(0, 20), key=hash_of)
+    plane = network.planes[first]
+    region = plane.parts.own.region
+    child = max(
+        (
+            node
+            for node, other in network.planes.items()
+            if other.parts.own.region == region
+        ),
+        key=hash_of,
+    )
+    report = plane.status(network.now)
+    assert {zone.region for zone in report.values()} == {'a', 'b'}
+    network.give(first, messages.StatusReceived(child, report))
+    subtree = plane.parts.board.children[child].report
+    assert {zone.region for zone in subtree.values()} == {region}
+
+
 def test_draining_node_stays_a_member_for_a_moment(network):
     """Guards against tokens that nobody can ask the drained node about."""
     network.give('n5', messages.DrainRequested())
--- a/packages/control/bilberryrail/control/status_exchange.py
+++ b/packages/control/bilberryrail/control/status_exchange.py
@@ -50,7 +50,10 @@
         elif self.sources.is_source(peer):
             self.board.set_summary(report, now)
         elif self._may_be_child(peer):
-            self.board.take_child(peer, report, now)
+            # A peer that holds itself for a reader adds other regions; as part
+            # of a subtree they would replace newer summaries for ever.
+            subtree = of_region(report, self._own_region)
+            self.board.take_child(peer, subtree, now)
 
     def send(self, applied: Offset, now: Seconds) -> Iterator[SendStatus]:
         """Send what is due each status interval."""
