--- a/packages/proofs/bilberryrail/proofs/process_steps_test.py
+++ b/packages/proofs/bilberryrail/proofs/process_steps_test.py
@@ -19,7 +19,7 @@
 from bilberryrail.standins.deployments import load_deployment, place
 from bilberryrail.standins.processes import Children
 from bilberryrail.standins.running_load import RunningLoad, start_load
-from bilberryrail.standins.waiting import wait_until
+from bilberryrail.standins.waiting import WaitError, wait_until
 
 scenarios('processes.feature')
 
@@ -235,7 +235,10 @@
 @then(parsers.parse('the plan "{name}" can be confirmed'))
 def confirm_works(scene, name):
     # A node notices at its next try that the log is back.
-    wait_until(lambda: is_confirmed(scene, name), f'{name} in force')
+    try:
+        wait_until(lambda: is_confirmed(scene, name), f'{name} in force')
+    except WaitError as error:
+        raise AssertionError(scene.printed[name]) from error
 
 
 @then(parsers.parse('confirming the plan "{name}" again names the same change'))
