Let callers see a refused connection at once

Cause: the callers used Twisted's endpoint for host names, which reports a refused connection only after 0.3 s. While a node was being replaced this was the tail of the measured latency; it is not time in the product.

Change: callers connect like the nodes do.

--- a/packages/standins/bilberryrail/standins/caller_http.py
+++ b/packages/standins/bilberryrail/standins/caller_http.py
@@ -21,6 +21,7 @@
 )
 from twisted.web.iweb import IResponse
 
+from bilberryrail.node.http_client import EndpointFactory
 from bilberryrail.standins.backend_model import Answer, checksum_of
 
 #: What treq raises when a sent request gets no whole answer.
@@ -32,6 +33,7 @@
 )
 MS_PER_S = 1000
 CONNECTIONS_PER_NODE = 64
+CONNECT_TIMEOUT_S = 1.0
 #: Time that a caller waits beyond its deadline for the final response.
 GRACE_S = 2.0
 #: Time to wait when a refusal names no time.
@@ -79,7 +81,14 @@
         pool = HTTPConnectionPool(clock)
         pool.maxPersistentPerHost = CONNECTIONS_PER_NODE
         pool.retryAutomatically = False
-        self.client = treq.client.HTTPClient(Agent(clock, pool=pool))
+        # Twisted's own endpoints report a refused connection only after the
+        # 0.3 s in which they would try another address of the host.
+        agent = Agent.usingEndpointFactory(
+            clock,
+            EndpointFactory(clock, CONNECT_TIMEOUT_S),
+            pool,
+        )
+        self.client = treq.client.HTTPClient(agent)
 
     async def post(
         self,
