--- a/packages/standins/bilberryrail/standins/caller_calls.py
+++ b/packages/standins/bilberryrail/standins/caller_calls.py
@@ -17,6 +17,7 @@
     NoAnswer,
     NotSent,
     Refused,
+    Submission,
     answer_fault,
 )
 from bilberryrail.standins.caller_report import (
@@ -57,11 +58,14 @@
     may_have_run
         Whether a submission of the current token, or any lookup, got an
         answer other than a true "not run".
+    cut
+        Whether a submission got no whole answer or an unknown outcome.
     """
 
     outcome: str = 'lost'
     final: bool = False
     may_have_run: bool = False
+    cut: bool = False
     wrong: bool = False
     token: str | None = None
     wait_s: float = 0
@@ -116,6 +120,7 @@
             idempotent=call.idempotent,
             outcome=progress.outcome,
             may_have_run=progress.may_have_run,
+            cut=progress.cut,
             wrong=progress.wrong,
         )
 
@@ -175,6 +180,8 @@
             call.deadline_s,
         )
         self.reasons[_label(kind, answer)] += 1
+        if isinstance(answer, NoAnswer) or _is_unknown(answer):
+            progress.cut = True
         return answer
 
     def _nodes_for(self, call: Call) -> tuple[LoadNode, ...]:
@@ -211,6 +218,10 @@
             )
 
 
+def _is_unknown(answer: Submission) -> bool:
+    return isinstance(answer, Refused) and answer.outcome == 'unknown'
+
+
 def _label(kind: str, answer: Completed | Refused | NotSent | NoAnswer) -> str:
     match answer:
         case Completed(status=status):
