Let nodes of the proofs linger after a drain, as the shell does

Change: a node of the world closes 0.5 s after its last call. The test that breaks the drain has calls that take longer than that.

--- a/packages/proofs/bilberryrail/proofs/matrix.py
+++ b/packages/proofs/bilberryrail/proofs/matrix.py
@@ -71,7 +71,7 @@
 _TABLE = """
 accept    L    AU   U    A    A    A    U    U    A    A    L    U    AU   L
 reserve   LT   T    TU   T    T    T    TU   TU   T    T    LT   TU   T    LT
-choose    L    ATU  NU   AT   AT   AT   NU   NU   AT   AT   L    NU   ATU  L
+choose    L    ANTU NU   AT   AT   AT   NU   NU   AT   AT   L    NU   ANTU L
 send      L    AU   ANU  A    A    A    ANU  AN   A    A    L    ANU  AU   L
 admit     LU   AU   NU   A    A    A    NU   NU   A    A    LU   NU   AU   LU
 forward   ALU  AU   AU   A    A    A    AU   AU   A    A    ALU  AU   AU   ALU
--- a/packages/proofs/bilberryrail/proofs/network.py
+++ b/packages/proofs/bilberryrail/proofs/network.py
@@ -35,6 +35,8 @@
 
 #: Time in which a refused connection to a backend server fails.
 REFUSED_S = 0.001
+#: Time between the end of a drain and closing, as in the shell.
+LINGER_S = 0.5
 #: Fewer ticks than in service, so that a run of seconds takes milliseconds.
 TICK_S = 0.1
 #: Low, so that the log of a short run holds snapshots.
@@ -147,7 +149,13 @@
             self._later(0, node, down(peer.name, 'reset'))
             self._later(0, peer, down(node.name, 'reset'))
 
-    def _stop(self, node: ProofNode) -> None:
+    def _close(self, node: ProofNode) -> None:
+        """Exit after a drain, once the paused or lingering process can."""
+        if not node.alive:
+            return
+        if node.frozen:
+            self.scheduler.after(LINGER_S, partial(self._close, node))
+            return
         self.recorder.add(
             trace.Stopped(
                 self.scheduler.now,
@@ -188,7 +196,8 @@
             case actions.DropBody(peer=peer, attempt=attempt):
                 node.bodies.pop((peer, attempt), None)
             case actions.Stop():
-                self._stop(node)
+                # The shell lingers, so that late calls are refused truly.
+                self.scheduler.after(LINGER_S, partial(self._close, node))
             case actions.CheckHealth() if node.backend_down:
                 self._later(REFUSED_S, node, events.BackendHealth(None))
             case messages.CloseLink():
