Tell cut submissions from those that a node did not take on

Cause: since a draining or catching-up ingress answers a token with "outcome unknown" (it cannot ask the target, and an earlier submission may have run), the callers' report counted each such answer as a cut call. The reason shows that the node sent the token to nobody, so nothing was interrupted.

Change: "unknown" for draining, catching-up or stale-view is no cut; every other unknown outcome and every broken answer still is. A test lists both kinds.

--- a/packages/standins/bilberryrail/standins/caller_calls.py
+++ b/packages/standins/bilberryrail/standins/caller_calls.py
@@ -49,6 +49,10 @@
     patience_s: float
 
 
+#: Reasons of a node that took nothing on.
+NOT_TAKEN_ON = frozenset(('draining', 'catching-up', 'stale-view'))
+
+
 @dataclass
 class Progress:
     """What a caller knows about its call so far.
@@ -180,7 +184,7 @@
             call.deadline_s,
         )
         self.reasons[_label(kind, answer)] += 1
-        if isinstance(answer, NoAnswer) or _is_unknown(answer):
+        if is_cut(answer):
             progress.cut = True
         return answer
 
@@ -218,8 +222,19 @@
             )
 
 
-def _is_unknown(answer: Submission) -> bool:
-    return isinstance(answer, Refused) and answer.outcome == 'unknown'
+def is_cut(answer: Submission) -> bool:
+    """Tell whether a submission was interrupted.
+
+    A node that drains, or that does not know the present state, sends a token
+    to nobody. It says "unknown" because an earlier submission may have run;
+    nothing was interrupted, and the same token is safe to submit elsewhere.
+    """
+    match answer:
+        case NoAnswer():
+            return True
+        case Refused(outcome='unknown', reason=reason):
+            return reason not in NOT_TAKEN_ON
+    return False
 
 
 def _label(kind: str, answer: Completed | Refused | NotSent | NoAnswer) -> str:
--- a/packages/standins/bilberryrail/standins/caller_test.py
+++ b/packages/standins/bilberryrail/standins/caller_test.py
@@ -10,7 +10,7 @@
 
 from bilberryrail.core.records import BackendLimits
 from bilberryrail.standins.backend_model import BackendModel, BackendSettings
-from bilberryrail.standins.caller_calls import Call, Caller
+from bilberryrail.standins.caller_calls import Call, Caller, is_cut
 from bilberryrail.standins.caller_http import (
     Completed,
     NoAnswer,
@@ -86,6 +86,22 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ('answer', 'expected'),
+    [
+        (NoAnswer('broken'), True),
+        (UNKNOWN, True),
+        (Refused('unknown', 'backend-server-failed', 0), True),
+        (Refused('unknown', 'draining', 0), False),
+        (Refused('unknown', 'catching-up', 0), False),
+        (NOT_RUN, False),
+    ],
+)
+def test_cut_calls_are_told_from_refused_ones(answer, expected):
+    """A refusal before anything was sent interrupts nothing."""
+    assert is_cut(answer) is expected
+
+
 def test_not_run_allows_a_new_reservation():
     """Guards against a booking stuck at a target that drains."""
     node = ScriptedNode(
