Pass reservations on while draining, and stop after a quiet time

Cause: a draining ingress answered a token with "outcome unknown" although its target could say "not run" or send the kept answer.

Change: tokens are passed on until Stop; Stop comes after 0.5 s without calls once Leave was appended; after Stop everything is refused. The cell "drain, log down" also allows the better end that the node is gone from the log.

--- a/packages/policy/bilberryrail/policy/engine.py
+++ b/packages/policy/bilberryrail/policy/engine.py
@@ -67,6 +67,7 @@
         self.view = self._make_view(None)
         self.draining = False
         self.stopped = False
+        self._quiet_since = Seconds(0)
         self._version = self.parts.plane.view_version
         self._handled_at = Seconds(0)
 
@@ -102,7 +103,7 @@
         # A pause in this turn makes the end of an earlier drain void.
         if not pause_s or not isinstance(event, events.InputDrained):
             actions.extend(self._dispatch(event, now))
-        actions.extend(self._stop())
+        actions.extend(self._stop(now))
         return tuple(actions)
 
     def _dispatch(
@@ -179,6 +180,7 @@
         self._refresh_view()
         if isinstance(event, messages.DrainRequested):
             self.draining = True
+            self._quiet_since = now
         if self._concerns_calls(event):
             yield from self._target(event, now)
             yield from self.parts.ingress.handle(event, now, self.view)
@@ -218,6 +220,8 @@
     def _unfit(self, now: Seconds) -> Reason | None:
         """Say why this node cannot serve calls, if it cannot."""
         plane = self.parts.plane
+        if self.stopped:
+            return Reason.DRAINING
         if not plane.caught_up:
             return Reason.CATCHING_UP
         stale = self.guard.is_stale(
@@ -262,7 +266,7 @@
             return Outcome.NOT_RUN
         return self.parts.target.outcome_refused(event.token)
 
-    def _stop(self) -> tuple[Action, ...]:
+    def _stop(self, now: Seconds) -> tuple[Action, ...]:
         """Stop once a drain has let everything finish.
 
         A process that ended before its Leave was appended would stay a member
@@ -270,9 +274,11 @@
         """
         if not self.draining or self.stopped or self.guard.draining_input:
             return ()
-        if not (self.parts.target.idle and self.parts.ingress.idle):
+        is_idle = self.parts.target.idle and self.parts.ingress.idle
+        if not (is_idle and self.plane.has_left):
+            self._quiet_since = now
             return ()
-        if not self.plane.has_left:
+        if now - self._quiet_since < self.settings.drain_quiet_s:
             return ()
         self.stopped = True
         return (Stop(),)
--- a/packages/policy/bilberryrail/policy/ingress.py
+++ b/packages/policy/bilberryrail/policy/ingress.py
@@ -34,7 +34,6 @@
     Arrival,
     Intake,
     TokenTarget,
-    outcome_unsent,
     token_of,
 )
 from bilberryrail.policy.lifecycle import CallLife
@@ -188,9 +187,12 @@
         now: Seconds,
         view: ClusterView,
     ) -> None:
-        if self.draining and arrival.parent is None:
+        # A token is passed on even by a draining node: only the target can
+        # say whether its call has run.
+        is_new = arrival.parent is None and token_of(arrival) is None
+        if self.draining and is_new:
             refusal = Refusal(
-                outcome_unsent(token_of(arrival)),
+                Outcome.NOT_RUN,
                 Reason.DRAINING,
                 RETRY_AFTER_S,
             )
--- a/packages/policy/bilberryrail/policy/settings.py
+++ b/packages/policy/bilberryrail/policy/settings.py
@@ -146,9 +146,17 @@
 
 
 class EngineSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Everything the engine needs to know at start."""
+    """Everything the engine needs to know at start.
+
+    Attributes
+    ----------
+    drain_quiet_s
+        Time without calls after which a draining node stops. Callers and
+        peers that had not yet heard of the drain still get answers in it.
+    """
 
     identity: NodeIdentity
+    drain_quiet_s: _Duration = 0.5
     relay: RelaySettings = RelaySettings()
     routing: RoutingSettings = RoutingSettings()
     probes: ProbeSettings = ProbeSettings()
--- a/packages/proofs/bilberryrail/proofs/matrix.py
+++ b/packages/proofs/bilberryrail/proofs/matrix.py
@@ -86,7 +86,7 @@
 apply     C    C    C    C    C    C    C    C    CR   C    C    C    C    C
 snapshot  C    C    C    C    C    C    C    C    C    C    C    C    C    C
 announce  M    M    M    M    M    M    M    M    M    M    M    M    M    M
-drain     M    G    G    G    M    G    G    G    G    G    M    G    G    M
+drain     M    G    G    G    GM   G    G    G    G    G    M    G    G    M
 leave     M    G    G    G    M    G    G    G    G    G    M    G    G    M
 replace   M    M    M    M    M    M    M    M    M    M    M    M    M    M
 """
