Replace the gRPC stream between nodes by length-prefixed frames

Cause: grpclib and its HTTP/2 layer are one of the three large steps of a call, and grpclib reads a whole frame before its size can be checked.

Change: PeerLink runs over Twisted's Int32StringReceiver with the same protobuf frames. The link is an automat machine; frame lengths are checked before buffering; a full connection queues frames and gives unsent ones back.

--- a/packages/bench/bilberryrail/bench/shell_latency.py
+++ b/packages/bench/bilberryrail/bench/shell_latency.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+import pathlib
 import subprocess
 import sys
 import time
@@ -40,11 +41,15 @@
     """Print latencies in ms and the metrics of both nodes' steps."""
     layout = new_layout()
     with contextlib.ExitStack() as stack:
-        for role in Role:
-            stack.callback(_end, _start(role, layout))
+        processes = {role: _start(role, layout) for role in Role}
+        for process in processes.values():
+            stack.callback(_end, process)
         time.sleep(START_S)
         measured = asyncio.run(_measure(layout, calls, 1 / rate))
         _report(*measured)
+        for role in (Role.INGRESS, Role.TARGET):
+            resident = _resident_mb(processes[role].pid)
+            typer.echo(f'{role.value} resident: {resident:.1f} MB')
 
 
 def _report(
@@ -61,6 +66,13 @@
                 typer.echo(f'{name} {line}')
 
 
+def _resident_mb(pid: int) -> float:
+    """Read the resident memory of a process in MB (10^6 bytes)."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    _, _, rest = status.partition('VmRSS:')
+    return int(rest.split()[0]) * 1024 / 1e6
+
+
 def _end(process: subprocess.Popen[bytes]) -> None:
     process.terminate()
     process.wait()
--- /dev/null
+++ b/packages/node/bilberryrail/node/link_output.py
@@ -0,0 +1,86 @@
+"""Frames on their way into a connection, with backpressure."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.interfaces import IPushProducer
+from zope.interface import implementer
+
+from bilberryrail.wire import peer_pb2
+
+
+@implementer(IPushProducer)
+class LinkOutput:
+    """Writes frames until the connection's buffer is full, then queues them.
+
+    Attributes
+    ----------
+    queued
+        Frames of which no byte was handed to the connection.
+    on_empty
+        Called once when everything is handed over, after ``end``.
+    """
+
+    def __init__(self, write: Callable[[bytes], None]) -> None:
+        self.write = write
+        self.queued: deque[peer_pb2.Frame] = deque()
+        self.transport: Any = None
+        self.is_paused = True
+        self.on_empty: Callable[[], None] | None = None
+
+    def start(self, transport: Any) -> None:
+        """Write to a connection from now on."""
+        self.transport = transport
+        self.is_paused = False
+        transport.registerProducer(self, True)  # noqa: WPS425
+
+    def send(self, frame: peer_pb2.Frame) -> None:
+        """Write a frame, or queue it while the connection is full."""
+        if self.is_paused:
+            self.queued.append(frame)
+        else:
+            self.write(frame.SerializeToString())
+
+    def end(self, on_empty: Callable[[], None]) -> None:
+        """Call ``on_empty`` as soon as nothing is queued."""
+        self.on_empty = on_empty
+        self._write_queued()
+
+    def stop(self) -> None:
+        """Write nothing more.
+
+        A registered producer would keep the connection from closing.
+        """
+        self.is_paused = True
+        self.on_empty = None
+        if self.transport is not None:
+            self.transport.unregisterProducer()
+            self.transport = None
+
+    def take_unsent(self) -> list[peer_pb2.Frame]:
+        """Take the frames of which no byte was written."""
+        unsent = list(self.queued)
+        self.queued.clear()
+        return unsent
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stop writing: the connection's buffer is full."""
+        self.is_paused = True
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Write what was queued in the meantime."""
+        self.is_paused = False
+        self._write_queued()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Stop writing: the connection is lost."""
+        self.is_paused = True
+
+    def _write_queued(self) -> None:
+        while self.queued and not self.is_paused:
+            self.write(self.queued.popleft().SerializeToString())
+        on_empty = self.on_empty
+        if on_empty is not None and not self.queued:
+            self.stop()
+            on_empty()
--- a/packages/node/bilberryrail/node/peer_dialer.py
+++ b/packages/node/bilberryrail/node/peer_dialer.py
@@ -2,31 +2,23 @@
 
 import asyncio
 import contextlib
-from typing import Any, Final
+from typing import Final
 
-from grpclib.client import Channel
-from grpclib.exceptions import ProtocolError, StreamTerminatedError
-from h2.exceptions import StreamClosedError
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
 
 from bilberryrail.control.messages import LinkDown, OpenLink
 from bilberryrail.core.ids import NodeId
 from bilberryrail.core.records import Member
 from bilberryrail.node import logs
 from bilberryrail.node.engine_task import EngineTask
-from bilberryrail.node.peer_link import PeerLink
+from bilberryrail.node.idle_watch import IdleWatch
+from bilberryrail.node.peer_link import HELLO_TIMEOUT_S, PeerLink
 from bilberryrail.node.peer_links import PeerLinks
-from bilberryrail.wire import frames
-from bilberryrail.wire.peer_grpc import PeerStub
 
-#: Time to connect and to exchange Hello; far above a round trip of 60 ms.
-HELLO_TIMEOUT_S: Final = 2.0
-#: Longest wait for a peer to read the last frames of a link.
-END_TIMEOUT_S: Final = 1.0
 #: First and longest wait before a link that must stay open is opened again.
 FIRST_RETRY_S: Final = 0.1
 LONGEST_RETRY_S: Final = 5.0
-#: Time without frames after which a link that nothing requires is closed.
-IDLE_S: Final = 30.0
 
 Address = tuple[str, int]
 
@@ -49,8 +41,6 @@
     resting
         Addresses whose node has a link that it opened itself; the event ends
         the wait.
-    ending
-        Number of streams whose last frames the peer is reading.
     """
 
     def __init__(self, engine_task: EngineTask, links: PeerLinks) -> None:
@@ -58,7 +48,6 @@
         self.links = links
         self.wanted: dict[NodeId, Address] = {}
         self.dialing: dict[Address, asyncio.Task[None]] = {}
-        self.ending = 0
         self.failing: set[Address] = set()
         self.resting: dict[Address, asyncio.Event] = {}
         links.dialer = self
@@ -92,8 +81,6 @@
         """Give up all connections."""
         self.wanted.clear()
         tasks = tuple(self.dialing.values())
-        if self.ending:
-            await asyncio.wait(tasks, timeout=END_TIMEOUT_S)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -140,9 +127,10 @@
         self.resting.pop(address)
 
     async def _connect(self, address: Address, peer: NodeId | None) -> bool:
-        channel = Channel(*address)
+        """Serve a link until it is over; false if it did not come up."""
+        link = PeerLink(self.links, is_dialer=True, expected=peer)
         try:
-            return await self._serve(channel, peer)
+            await self._open(link, address)
         except Exception as error:
             reason = f'{type(error).__name__}: {error}'
             logs.warning('link-not-opened', address=address, reason=reason)
@@ -150,67 +138,33 @@
                 self.links.refuse_held(peer)
                 self.engine_task.submit(LinkDown(peer, reason))
             return False
-        finally:
-            channel.close()
-
-    async def _serve(self, channel: Channel, peer: NodeId | None) -> bool:
-        async with PeerStub(channel).Exchange.open() as stream:
-            member = await asyncio.wait_for(
-                self._greet(stream, peer),
-                HELLO_TIMEOUT_S,
-            )
-            watch = asyncio.ensure_future(self._close_when_idle(member.node))
-            with contextlib.ExitStack() as stack:
-                stack.callback(watch.cancel)
-                await self.links.serve(stream, member)
-            self.ending += 1
-            await self._end(stream)
-            self.ending -= 1
+        watch = IdleWatch(
+            self.engine_task.reactor,
+            link,
+            lambda: link.member.node in self.wanted,
+        )
+        with contextlib.ExitStack() as stack:
+            stack.callback(watch.stop)
+            await link.over.wait()
         return True
 
-    async def _end(self, stream: Any) -> None:
-        """Close a stream after the peer has read everything.
-
-        A reset would make the peer drop answers that it has not read yet.
-        """
-        # The peer may have ended or reset the stream already.
-        with contextlib.suppress(
-            ProtocolError,
-            StreamTerminatedError,
-            StreamClosedError,
-            asyncio.TimeoutError,
-        ):
-            await asyncio.wait_for(_read_out(stream), END_TIMEOUT_S)
-            return
-        with contextlib.suppress(ProtocolError, StreamTerminatedError):
-            await stream.cancel()
-
-    async def _greet(self, stream: Any, peer: NodeId | None) -> Member:
-        await stream.send_message(self.links.hello())
-        hello = frames.decode_hello(await stream.recv_message())
-        if hello.is_err():
-            raise DialError(hello.unwrap_err().reason)
-        member = hello.unwrap()
-        if peer is not None and member.node != peer:
-            raise DialError(f'node {member.node} answered instead of {peer}')
-        return member
-
-    async def _close_when_idle(self, peer: NodeId) -> None:
-        used = -1
-        while True:
-            await asyncio.sleep(IDLE_S)
-            for link in self.links.links.get(peer, ()):
-                if link.used == used and self._is_needless(link):
-                    link.finish()
-                used = link.used
-
-    def _is_needless(self, link: PeerLink) -> bool:
-        return link.member.node not in self.wanted and link.open_attempts <= 0
-
-
-async def _read_out(stream: Any) -> None:
-    """End the sending side, then read until the peer ends its own."""
-    await stream.end()
-    has_ended = False
-    while not has_ended:
-        has_ended = await stream.recv_message() is None
+    async def _open(self, link: PeerLink, address: Address) -> None:
+        endpoint = TCP4ClientEndpoint(
+            self.engine_task.reactor,
+            *address,
+            timeout=HELLO_TIMEOUT_S,
+        )
+        factory = Factory.forProtocol(lambda: link.connection)
+        factory.noisy = False
+        connecting = endpoint.connect(factory)
+        with contextlib.ExitStack() as stack:
+            # Ends an attempt that was given up before both said Hello.
+            stack.callback(self._give_up, link)
+            await connecting.asFuture(asyncio.get_running_loop())
+            await link.settled.wait()
+        if link.member is None:
+            raise DialError(link.reason)
+
+    def _give_up(self, link: PeerLink) -> None:
+        if link.member is None:
+            link.finish()
--- a/packages/node/bilberryrail/node/peer_link.py
+++ b/packages/node/bilberryrail/node/peer_link.py
@@ -1,13 +1,24 @@
-"""One long-lived stream to another node, whichever side opened it."""
+"""One long-lived connection to another node, whichever side opened it."""
 
 import asyncio
-import contextlib
-from collections.abc import Callable
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
+from bilberryrail.core.ids import NodeId
 from bilberryrail.core.records import Member
 from bilberryrail.node import logs
-from bilberryrail.wire import peer_pb2
+from bilberryrail.node.frame_connection import FrameConnection
+from bilberryrail.node.link_machine import LinkPhase, new_link_machine
+from bilberryrail.node.link_output import LinkOutput
+from bilberryrail.wire import frames, peer_pb2
+
+#: Time to exchange Hello; far above a round trip of 60 ms.
+HELLO_TIMEOUT_S: Final = 2.0
+#: Longest wait for a peer to read the last frames of a link.
+END_TIMEOUT_S: Final = 1.0
+#: Room for the state of 19,000 members, about 200 bytes each, four times.
+LARGEST_CONTROL_BYTES: Final = 16_777_216
+#: Room for everything in a call's frame besides its body.
+CALL_OVERHEAD_BYTES: Final = 65536
 
 _OPENING: Final = frozenset(('call_request', 'reservation_request'))
 _CLOSING: Final = frozenset(
@@ -15,96 +26,192 @@
 )
 
 
+class Registry(Protocol):
+    """What a link reports to."""
+
+    reactor: Any
+    max_body_bytes: int
+
+    def hello(self) -> peer_pb2.Frame:
+        """Build the first frame of a link."""
+
+    def opened(self, link: 'PeerLink') -> None:
+        """Note a link that can be used."""
+
+    def received(self, link: 'PeerLink', frame: peer_pb2.Frame) -> None:
+        """Handle a frame."""
+
+    def closing(self, link: 'PeerLink') -> None:
+        """Note a link that takes no new frames."""
+
+    def ended(self, link: 'PeerLink') -> None:
+        """Note a link that is gone."""
+
+
 class PeerLink:
-    """Writes frames in order and hands received ones to ``on_frame``.
+    """Writes frames in order and hands received ones to the registry.
 
     Attributes
     ----------
-    outgoing
-        Frames that wait for the stream.
+    expected
+        Node that must answer; None if it is not known, as on accepted links.
     open_attempts
         Attempts of the peer that this node has not answered.
-    used_at
-        When the last frame was sent or received.
+    used
+        Number of frames sent and received.
+    settled
+        Set when both sides have said Hello, or the link is down.
+    over
+        Set when the link takes no new frames.
     """
 
     def __init__(
         self,
-        stream: Any,
-        member: Member,
-        on_frame: Callable[['PeerLink', peer_pb2.Frame], bool],
+        registry: Registry,
+        is_dialer: bool,
+        expected: NodeId | None = None,
     ) -> None:
-        self.stream = stream
-        self.member = member
-        self.on_frame = on_frame
-        self.outgoing: asyncio.Queue[peer_pb2.Frame | None] = asyncio.Queue()
+        self.registry = registry
+        self.is_dialer = is_dialer
+        self.expected = expected
+        self.phase = LinkPhase.CONNECTING
+        self.machine = new_link_machine(self)
+        self.connection = FrameConnection(self)
+        self.output = LinkOutput(self.connection.sendString)
+        self.member: Member | None = None
         self.open_attempts = 0
         self.used = 0
-        self.reason = 'closed by the peer'
-        self.tasks: list[asyncio.Task[None]] = []
+        self.reason = ''
+        self.settled = asyncio.Event()
+        self.over = asyncio.Event()
+        self.timer: Any = None
 
     def send(self, frame: peer_pb2.Frame) -> None:
-        """Queue a frame; it is written in the next turn of the loop."""
+        """Write a frame in the next turn of the loop, or queue it."""
         self.used += 1
         if frame.WhichOneof('kind') in _CLOSING:
             self.open_attempts -= 1
-        self.outgoing.put_nowait(frame)
+        self.output.send(frame)
 
     def finish(self) -> None:
-        """Close the stream once everything queued is written."""
-        self.reason = 'closed by this node'
-        self.outgoing.put_nowait(None)
-
-    async def run(self) -> None:
-        """Read and write until either side closes the stream or it breaks."""
-        self.tasks = [
-            asyncio.ensure_future(self._read()),
-            asyncio.ensure_future(self._write()),
-        ]
-        with contextlib.ExitStack() as stack:
-            for task in self.tasks:
-                stack.callback(task.cancel)
-            await asyncio.wait(
-                self.tasks,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-
-    def unsent(self) -> list[peer_pb2.Frame]:
-        """Take the frames of which no byte was written."""
-        frames = []
-        while not self.outgoing.empty():
-            frame = self.outgoing.get_nowait()
-            if frame is not None:
-                frames.append(frame)
-        return frames
-
-    async def _read(self) -> None:
-        # grpclib raises different errors for a cut stream, a lost connection
-        # and bytes that are no message; each ends only this link.
-        try:
-            async for frame in self.stream:
-                self.used += 1
-                if frame.WhichOneof('kind') in _OPENING:
-                    self.open_attempts += 1
-                if not self.on_frame(self, frame):
-                    return
-        except Exception as error:
-            self._failed(error)
-
-    async def _write(self) -> None:
-        try:
-            while True:
-                frame = await self.outgoing.get()
-                if frame is None:
-                    return
-                await self.stream.send_message(frame)
-        except Exception as error:
-            self._failed(error)
-
-    def _failed(self, error: Exception) -> None:
-        self.reason = f'{type(error).__name__}: {error}'
-        logs.warning(
-            'link-failed',
-            peer=self.member.node,
-            reason=self.reason,
+        """Close the link once everything queued is written."""
+        self.machine.finish()
+
+    def fail(self, reason: str) -> None:
+        """Close the link: the peer breaks the protocol or is too slow."""
+        peer = self.member.node if self.member else 'unknown'
+        logs.warning('link-failed', peer=peer, reason=reason)
+        self.machine.failed(reason)
+
+    def connected(self) -> None:
+        """Start with Hello."""
+        self.machine.connected()
+
+    def received(self, frame: peer_pb2.Frame) -> None:
+        """Read a frame; those after the end of the link are dropped."""
+        match self.phase:
+            case LinkPhase.GREETING:
+                self._read_hello(frame)
+            case LinkPhase.UP | LinkPhase.CLOSING:
+                self._read_frame(frame)
+
+    def peer_ended(self) -> None:
+        """Note that the peer sends nothing more."""
+        self.machine.peer_ended()
+
+    def lost(self, reason: str) -> None:
+        """Note that the connection is gone."""
+        self._stop_timer()
+        if self.phase is LinkPhase.UP:
+            logs.warning('link-lost', peer=self.member.node, reason=reason)
+        self.machine.lost(reason)
+
+    def greet(self) -> None:
+        """Say Hello, or wait for the peer's."""
+        late = f'no Hello within {HELLO_TIMEOUT_S} s'
+        self._start_timer(HELLO_TIMEOUT_S, self.fail, late)
+        self.output.start(self.connection.transport)
+        if self.is_dialer:
+            self.output.send(self.registry.hello())
+
+    def open(self, member: Member) -> None:
+        """Hand frames to the registry from now on."""
+        self._stop_timer()
+        self.member = member
+        self.connection.limit = max(
+            LARGEST_CONTROL_BYTES,
+            self.registry.max_body_bytes + CALL_OVERHEAD_BYTES,
         )
+        if not self.is_dialer:
+            self.output.send(self.registry.hello())
+        self.settled.set()
+        self.registry.opened(self)
+
+    def end_output(self) -> None:
+        """Write what is queued, then end the own direction.
+
+        Closing the socket with unread bytes would reset the connection, and
+        the peer would drop answers that it has not read yet.
+        """
+        self._begin_closing('closed by this node')
+        self.output.end(self.connection.transport.loseWriteConnection)
+
+    def hang_up(self) -> None:
+        """Write what is queued, then close the connection."""
+        self._begin_closing('closed by the peer')
+        self.output.end(self.connection.transport.loseConnection)
+
+    def take_down(self, reason: str) -> None:
+        """Report the end."""
+        self.reason = self.reason or reason
+        self._stop_timer()
+        self.output.stop()
+        self.settled.set()
+        self.over.set()
+        if self.member is not None:
+            self.registry.ended(self)
+
+    def disconnect(self) -> None:
+        """Close the connection, at the latest after ``END_TIMEOUT_S``."""
+        transport = self.connection.transport
+        if transport is not None:
+            transport.loseConnection()
+            self._start_timer(END_TIMEOUT_S, transport.abortConnection)
+
+    def _begin_closing(self, reason: str) -> None:
+        if self.over.is_set():
+            return
+        self.reason = reason
+        transport = self.connection.transport
+        self._start_timer(END_TIMEOUT_S, transport.abortConnection)
+        self.over.set()
+        self.registry.closing(self)
+
+    def _read_hello(self, frame: peer_pb2.Frame) -> None:
+        hello = frames.decode_hello(frame)
+        if hello.is_err():
+            self.fail(hello.unwrap_err().reason)
+            return
+        member = hello.unwrap()
+        if self.expected not in {None, member.node}:
+            self.fail(f'node {member.node} answered, not {self.expected}')
+            return
+        self.machine.greeted(member)
+
+    def _read_frame(self, frame: peer_pb2.Frame) -> None:
+        self.used += 1
+        if frame.WhichOneof('kind') in _OPENING:
+            if self.phase is LinkPhase.CLOSING:
+                # Its answer could not be sent any more.
+                return
+            self.open_attempts += 1
+        self.registry.received(self, frame)
+
+    def _start_timer(self, delay_s: float, due: Any, *args: Any) -> None:
+        self._stop_timer()
+        reactor = self.registry.reactor
+        self.timer = reactor.callLater(delay_s, due, *args)
+
+    def _stop_timer(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
--- a/packages/node/bilberryrail/node/peer_links.py
+++ b/packages/node/bilberryrail/node/peer_links.py
@@ -1,6 +1,5 @@
 """All links to other nodes: sending, receiving, and what a break means."""
 
-import contextlib
 from collections import defaultdict
 from typing import Any, Final, Protocol
 
@@ -14,11 +13,16 @@
 from bilberryrail.policy import actions
 from bilberryrail.policy.events import RefusalReceived
 from bilberryrail.wire import encoding, frames, peer_pb2
-from bilberryrail.wire.errors import AnswerError, RequestError, WireError
+from bilberryrail.wire.errors import (
+    AnswerError,
+    FrameError,
+    RequestError,
+    WireError,
+)
 
 #: Load of a target that no message reaches: it admits nothing now.
 UNREACHABLE: Final = LoadReport(in_flight=0, limit=0, queued=0, latency_s=0)
-#: Frames held back for one peer while its link is being opened.
+#: Frames held back for one peer while its link is being opened, or is full.
 MOST_HELD_FRAMES: Final = 1000
 
 _CALL_KINDS: Final = frozenset(('call_request', 'reservation_request'))
@@ -53,14 +57,18 @@
     ----------
     held
         Frames for peers whose link is being opened.
+    ending
+        Links that still write or read their last frames.
     """
 
     def __init__(self, engine_task: EngineTask, max_body_bytes: int) -> None:
         self.engine_task = engine_task
+        self.reactor = engine_task.reactor
         self.max_body_bytes = max_body_bytes
         self.dialer: Dialer | None = None
         self.links: dict[NodeId, list[PeerLink]] = defaultdict(list)
         self.held: dict[NodeId, list[peer_pb2.Frame]] = {}
+        self.ending: set[PeerLink] = set()
         self.load = UNREACHABLE
 
     def is_open(self, peer: NodeId) -> bool:
@@ -74,7 +82,7 @@
             self.load = action.load
         links = self.links.get(peer)
         if links:
-            links[0].send(frame)
+            self._send_over(links[0], frame)
             return
         held = self.held.setdefault(peer, [])
         held.append(frame)
@@ -98,16 +106,41 @@
             ),
         )
 
-    async def serve(self, stream: Any, member: Member) -> None:
-        """Run a link whose peer has said who it is, until it ends."""
-        link = PeerLink(stream, member, self._received)
-        self.links[member.node].append(link)
-        for frame in self.held.pop(member.node, ()):
+    def opened(self, link: PeerLink) -> None:
+        """Use a link from now on."""
+        peer = link.member.node
+        self.links[peer].append(link)
+        for frame in self.held.pop(peer, ()):
             link.send(frame)
-        self.engine_task.submit(LinkUp(member))
-        with contextlib.ExitStack() as stack:
-            stack.callback(self._ended, link)
-            await link.run()
+        self.engine_task.submit(LinkUp(link.member))
+
+    def closing(self, link: PeerLink) -> None:
+        """Send nothing more over a link; its last answers may still come."""
+        self._remove(link)
+        self.ending.add(link)
+
+    def ended(self, link: PeerLink) -> None:
+        """Tell the engine that a link is gone, and what was never sent."""
+        peer = link.member.node
+        self._remove(link)
+        self.ending.discard(link)
+        for frame in link.output.take_unsent():
+            self._not_sent(peer, frame)
+        self.engine_task.submit(LinkDown(peer, link.reason))
+        left = self.links.get(peer)
+        if left:
+            self.engine_task.submit(LinkUp(left[0].member))
+
+    def received(self, link: PeerLink, frame: peer_pb2.Frame) -> None:
+        """Hand a frame to the engine, or end a link that breaks the rules."""
+        self._note(frame, 'received')
+        peer = link.member.node
+        decoded = frames.decode_frame(frame, peer, self.max_body_bytes)
+        if decoded.is_ok():
+            received = decoded.ok_value
+            self.engine_task.submit(received.event, received.payload)
+        else:
+            self._bad_frame(link, decoded.err_value)
 
     def refuse_held(self, peer: NodeId) -> None:
         """Tell the engine that frames to a peer were never sent."""
@@ -120,16 +153,20 @@
             for link in links:
                 link.finish()
 
-    def _ended(self, link: PeerLink) -> None:
-        peer = link.member.node
-        left = self.links[peer]
-        left.remove(link)
-        for frame in link.unsent():
-            self._not_sent(peer, frame)
-        self.engine_task.submit(LinkDown(peer, link.reason))
-        if left:
-            self.engine_task.submit(LinkUp(left[0].member))
+    def _send_over(self, link: PeerLink, frame: peer_pb2.Frame) -> None:
+        is_full = len(link.output.queued) >= MOST_HELD_FRAMES
+        if is_full and frame.WhichOneof('kind') in _CALL_KINDS:
+            # The peer reads too slowly; another target may take the call.
+            self._not_sent(link.member.node, frame)
         else:
+            link.send(frame)
+
+    def _remove(self, link: PeerLink) -> None:
+        peer = link.member.node
+        left = self.links.get(peer, [])
+        if link in left:
+            left.remove(link)
+        if not left:
             self.links.pop(peer, None)
 
     def _not_sent(self, peer: NodeId, frame: peer_pb2.Frame) -> None:
@@ -150,30 +187,17 @@
             RefusalReceived(peer, attempt, outcome, reason, 0, load),
         )
 
-    def _received(self, link: PeerLink, frame: peer_pb2.Frame) -> bool:
-        """Handle a frame; false if the link cannot be trusted further."""
-        self._note(frame, 'received')
-        peer = link.member.node
-        decoded = frames.decode_frame(frame, peer, self.max_body_bytes)
-        if decoded.is_ok():
-            received = decoded.ok_value
-            self.engine_task.submit(received.event, received.payload)
-            return True
-        return self._bad_frame(link, decoded.err_value)
-
-    def _bad_frame(self, link: PeerLink, error: WireError) -> bool:
+    def _bad_frame(self, link: PeerLink, error: WireError) -> None:
         peer = link.member.node
         logs.warning('bad-frame', peer=peer, reason=error.reason)
         match error:
             case AnswerError(attempt=attempt, load=load):
                 reason = Reason.INCOMPLETE_ANSWER
                 self._refusal(peer, attempt, Outcome.UNKNOWN, reason, load)
-                return True
             case RequestError():
                 link.send(self._invalid_request(peer, error))
-                return True
-        link.reason = f'protocol error: {error.reason}'
-        return False
+            case FrameError():
+                link.fail(f'protocol error: {error.reason}')
 
     def _invalid_request(
         self,
--- a/packages/node/bilberryrail/node/peer_links_test.py
+++ b/packages/node/bilberryrail/node/peer_links_test.py
@@ -1,10 +1,10 @@
 """Tests of links with peers that break the protocol."""
 
 import pytest
-from grpclib.client import Channel
 from twisted.internet import reactor
 
 from bilberryrail.bench.raw_http import RawClient, request_bytes
+from bilberryrail.bench.raw_peer import RawPeer
 from bilberryrail.bench.scripted_engine import LIMITS, LOAD
 from bilberryrail.bench.shell_harness import (
     introduce,
@@ -17,7 +17,6 @@
 from bilberryrail.policy import actions, events
 from bilberryrail.wire import encoding, peer_pb2
 from bilberryrail.wire.content import AnswerContent, CallContent
-from bilberryrail.wire.peer_grpc import PeerStub
 
 MEMBER = Member('peer', 7, 'bookings', 'ub1', 'ulaanbaatar', '127.0.0.1', 1, 1)
 HELLO = encoding.hello_frame(MEMBER)
@@ -28,10 +27,10 @@
 def stream(shell, on_loop):
     """Open a link to the shell, which sends its calls there."""
     shell.engine.target = 'peer'
-    channel = Channel('127.0.0.1', shell.settings.engine.identity.port)
-    opened = PeerStub(channel).Exchange.open()
-    yield on_loop(opened.__aenter__())
-    channel.close()
+    port = shell.settings.engine.identity.port
+    opened = on_loop(RawPeer.connect(port))
+    yield opened
+    opened.cut()
 
 
 async def greet(stream):
@@ -46,6 +45,42 @@
     assert not shell.engine.seen(LinkUp)
 
 
+async def test_oversized_frame_is_refused_unread(shell, stream, until):
+    """Guards against a peer that fills the memory with one frame."""
+    await greet(stream)
+    stream.write(b'\x7f\xff\xff\xff')
+    await until(lambda: shell.engine.seen(LinkDown))
+    assert 'exceeds' in shell.engine.seen(LinkDown)[0].reason
+    assert await stream.recv_message() is None
+
+
+async def test_oversized_hello_is_refused_unread(shell, stream, until):
+    """Guards against memory for a peer that has no name yet."""
+    stream.write(b'\0\0\x10\x01')
+    assert await stream.recv_message() is None
+    assert not shell.engine.seen(LinkUp)
+
+
+async def test_bytes_that_are_no_message_end_their_link(shell, stream, until):
+    """Guards against an exception of the parser that stops the node."""
+    await greet(stream)
+    stream.write(b'\0\0\0\x02\xff\xff')
+    await until(lambda: shell.engine.seen(LinkDown))
+    assert 'protobuf' in shell.engine.seen(LinkDown)[0].reason
+
+
+async def test_last_frames_of_a_peer_that_ends_are_answered(shell, stream):
+    """Guards against dropping answers when a peer ends its direction."""
+    await greet(stream)
+    probe = peer_pb2.Frame(probe=peer_pb2.Probe(probe=9))
+    reply = actions.SendProbeReply('peer', 9, LOAD)
+    shell.engine.scripts[events.ProbeReceived] = lambda _: (reply,)
+    await stream.send_message(probe)
+    stream.end()
+    assert (await stream.recv_message()).probe_reply.probe == 9
+    assert await stream.recv_message() is None
+
+
 async def test_malformed_frame_ends_only_its_link(shell, stream, until):
     """Guards against a faulty peer that stops the node."""
     hello = await greet(stream)
@@ -109,7 +144,7 @@
     path = '/v1/services/bookings/calls'
     await client.send(request_bytes(path, TENANT))
     await stream.recv_message()
-    await stream.cancel()
+    stream.cut()
     answer = await client.ask(b'')
     assert answer.headers['bilberryrail-outcome'] == 'unknown'
 
--- a/packages/node/bilberryrail/node/peer_server.py
+++ b/packages/node/bilberryrail/node/peer_server.py
@@ -1,41 +1,32 @@
-"""gRPC server on which other nodes open links."""
+"""Listening socket on which other nodes open links."""
 
 import asyncio
-import socket
-from typing import Any
+from typing import Any, Final
 
-from grpclib.server import Server
+from twisted.internet.defer import maybeDeferred
+from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.protocol import Factory
 
 from bilberryrail.control.settings import NodeIdentity
-from bilberryrail.node import logs
-from bilberryrail.node.peer_dialer import HELLO_TIMEOUT_S
+from bilberryrail.node.frame_connection import FrameConnection
+from bilberryrail.node.peer_link import PeerLink
 from bilberryrail.node.peer_links import PeerLinks
-from bilberryrail.wire import frames
-from bilberryrail.wire.peer_grpc import PeerBase
 
+#: Connections that wait to be accepted; many nodes may restart at once.
+_BACKLOG: Final = 1024
 
-class PeerService(PeerBase):
-    """Accepts links and hands them to the registry."""
+
+class LinkFactory(Factory):
+    """Builds the link of each accepted connection."""
+
+    noisy = False
 
     def __init__(self, links: PeerLinks) -> None:
         self.links = links
 
-    async def Exchange(self, stream: Any) -> None:  # noqa: N802
-        """Serve one link until it ends."""
-        try:
-            first = await asyncio.wait_for(
-                stream.recv_message(),
-                HELLO_TIMEOUT_S,
-            )
-        except (TimeoutError, ValueError, AssertionError) as error:
-            logs.warning('link-refused', reason=type(error).__name__)
-            return
-        hello = frames.decode_hello(first)
-        if hello.is_err():
-            logs.warning('link-refused', reason=hello.unwrap_err().reason)
-            return
-        await stream.send_message(self.links.hello())
-        await self.links.serve(stream, hello.unwrap())
+    def buildProtocol(self, addr: Any) -> FrameConnection:  # noqa: N802
+        """Build the connection of a link that waits for Hello."""
+        return PeerLink(self.links, is_dialer=False).connection
 
 
 class PeerServer:
@@ -43,17 +34,21 @@
 
     def __init__(self, links: PeerLinks, identity: NodeIdentity) -> None:
         self.identity = identity
-        self.server = Server([PeerService(links)])
+        self.factory = LinkFactory(links)
+        self.port: Any = None
 
     async def start(self) -> None:
         """Listen on the node's own address."""
-        await self.server.start(
-            self.identity.host,
+        endpoint = TCP4ServerEndpoint(
+            self.factory.links.reactor,
             self.identity.port,
-            family=socket.AF_INET,
+            _BACKLOG,
+            self.identity.host,
         )
+        listening = endpoint.listen(self.factory)
+        self.port = await listening.asFuture(asyncio.get_running_loop())
 
     async def stop(self) -> None:
-        """Close all links and the listening socket."""
-        self.server.close()
-        await self.server.wait_closed()
+        """Close the listening socket."""
+        stopped = maybeDeferred(self.port.stopListening)
+        await stopped.asFuture(asyncio.get_running_loop())
--- a/packages/node/bilberryrail/node/process.py
+++ b/packages/node/bilberryrail/node/process.py
@@ -112,7 +112,8 @@
 
     def _is_writing(self) -> bool:
         """Tell whether links or appends, such as Leave, are unfinished."""
-        return bool(self.links.links) or self.log.appending > 0
+        links = self.links
+        return bool(links.links or links.ending) or self.log.appending > 0
 
     async def _listen(self, host: str, port: int, site: BoundedSite) -> None:
         endpoint = TCP4ServerEndpoint(self.reactor, port, BACKLOG, host)
