Send calls to the backend server over a small HTTP/1.1 client

Cause: Twisted's Agent is the largest step of the target: URI parsing, request and response objects and chained deferreds for each call.

Change: BackendPool and BackendConnection write a request at once and parse the response with httptools; only whole responses with a stated end are accepted. Bytes that nobody asked for close the connection, so that they cannot pass as another call's answer. What counts as "started" is unchanged: only a failure to connect means that no byte was sent. Health checks use the same pool, which also closes connections idle for 240 s. Header values from other nodes lose control characters, as Agent did it.

--- a/packages/node/bilberryrail/node/backend_client.py
+++ b/packages/node/bilberryrail/node/backend_client.py
@@ -1,7 +1,6 @@
 """Client of the backend server beside this node; section 8.3."""
 
 import re
-from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
 from typing import Any, Final
@@ -10,12 +9,11 @@
 import msgspec
 from twisted.internet import error
 from twisted.python.failure import Failure
-from twisted.web.http_headers import Headers
 
+from bilberryrail.node.backend_pool import BackendPool
 from bilberryrail.node.bodies import StoredAttempt
 from bilberryrail.node.engine_task import EngineTask
-from bilberryrail.node.http_body import read_body
-from bilberryrail.node.http_client import PooledClient
+from bilberryrail.node.http_response import HttpResponse
 from bilberryrail.policy.actions import Dispatch
 from bilberryrail.policy.events import (
     BackendAnswered,
@@ -35,6 +33,7 @@
 _LOAD: Final = re.compile(
     r'in_flight=(\d{1,9}) cold=([01]) draining=([01]) boot=([\w.-]{1,64})',
 )
+_CONTROL_CHARACTERS: Final = re.compile(r'[\x00-\x1f\x7f]+')
 #: Characters of a path and query that are sent as the caller wrote them.
 _PATH_CHARACTERS: Final = "%/?:@!$&'()*+,;=~[]"
 
@@ -48,15 +47,6 @@
     boot: str | int
 
 
-@dataclass(frozen=True, slots=True)
-class _Answer:
-    """A whole answer of the backend server."""
-
-    status: int
-    payload: AnswerContent
-    report: BackendReport | None
-
-
 class BackendClient:
     """Sends dispatches and reports how they ended.
 
@@ -70,10 +60,11 @@
         self.engine_task = engine_task
         self.settings = settings
         backend = settings.backend
-        self.base_url = f'http://{backend.host}:{backend.port}'
-        self.http = PooledClient(
+        self.host = f'{backend.host}:{backend.port}'
+        self.pool = BackendPool(
             engine_task.reactor,
-            backend.connect_timeout_s,
+            backend,
+            settings.max_body_bytes,
         )
         self.running: dict[DispatchId, Any] = {}
 
@@ -81,20 +72,13 @@
         """Send a call to the backend server once."""
         dispatch = action.dispatch
         connections = self._connections()
-        self.http.pool.maxPersistentPerHost = connections
+        self.pool.limit = connections
         if len(self.running) >= connections:
             reason = f'all {connections} connections are in use'
             self._report(BackendFailed(dispatch, False, reason))
             return
-        payload = stored.payload
-        path = quote(payload.path, safe=_PATH_CHARACTERS)
-        response = self.http.post(
-            f'{self.base_url}/{path}'.encode('ascii'),
-            _headers(action, stored),
-            payload.body,
-        )
+        response = self.pool.send(self._request(action, stored))
         self.running[dispatch] = response
-        response.addCallback(self._read)
         response.addCallbacks(
             partial(self._answered, dispatch),
             partial(self._failed, dispatch),
@@ -108,12 +92,10 @@
 
     def check_health(self) -> None:
         """Ask the backend server how it is."""
-        response = self.http.request(
-            'GET',
-            f'{self.base_url}/health',
-            timeout=HEALTH_TIMEOUT_S,
-        )
-        response.addCallback(lambda found: self._read(found.original))
+        self.pool.close_unused()
+        request = f'GET /health HTTP/1.1\r\nHost: {self.host}\r\n\r\n'
+        response = self.pool.send(request.encode('ascii'))
+        response.addTimeout(HEALTH_TIMEOUT_S, self.engine_task.reactor)
         response.addCallbacks(
             self._healthy,
             lambda _: self._report(BackendHealth(None)),
@@ -127,20 +109,34 @@
             return FALLBACK_CONNECTIONS
         return config.limits.connections
 
-    def _read(self, response: Any) -> Any:
-        """Read a whole answer; a cut one is an error."""
-        whole = read_body(response, self.settings.max_body_bytes)
-        return whole.addCallback(partial(_answer, response))
-
-    def _answered(self, dispatch: DispatchId, answer: _Answer) -> None:
+    def _request(self, action: Dispatch, stored: StoredAttempt) -> bytes:
+        payload = stored.payload
+        path = quote(payload.path, safe=_PATH_CHARACTERS)
+        remaining_ms = max(action.remaining_s * 1000, 0)
+        lines = [
+            f'POST /{path} HTTP/1.1',
+            f'Host: {self.host}',
+            f'Content-Length: {len(payload.body)}',
+            f'Bilberryrail-Parent: {action.dispatch}',
+            f'Bilberryrail-Deadline-Ms: {remaining_ms:.3f}',
+            f'Bilberryrail-Tenant: {_one_line(stored.tenant)}',
+        ]
+        if payload.content_type:
+            lines.append(f'Content-Type: {_one_line(payload.content_type)}')
+        head = '\r\n'.join((*lines, '', ''))
+        return head.encode() + payload.body
+
+    def _answered(self, dispatch: DispatchId, answer: HttpResponse) -> None:
         self.running.pop(dispatch, None)
         event = BackendAnswered(
             dispatch=dispatch,
             status=answer.status,
-            size=len(answer.payload.body),
-            report=answer.report,
+            size=len(answer.body),
+            report=parse_load(answer.headers.get('bilberryrail-load')),
         )
-        self.engine_task.submit(event, answer.payload)
+        content_type = answer.headers.get('content-type', '')
+        payload = AnswerContent(content_type, answer.body)
+        self.engine_task.submit(event, payload)
 
     def _failed(self, dispatch: DispatchId, failure: Failure) -> None:
         self.running.pop(dispatch, None)
@@ -151,10 +147,10 @@
         reason = f'{failure.type.__name__}: {failure.getErrorMessage()}'
         self._report(BackendFailed(dispatch, started, reason))
 
-    def _healthy(self, answer: _Answer) -> None:
+    def _healthy(self, answer: HttpResponse) -> None:
         report = None
         if answer.status == HTTPStatus.OK:
-            report = _health_report(answer.payload.body)
+            report = _health_report(answer.body)
         self._report(BackendHealth(report))
 
     def _report(self, event: BackendFailed | BackendHealth) -> None:
@@ -174,30 +170,9 @@
     )
 
 
-def _answer(response: Any, body: bytes) -> _Answer:
-    content_type = _header(response, 'content-type') or ''
-    return _Answer(
-        status=response.code,
-        payload=AnswerContent(content_type, body),
-        report=parse_load(_header(response, 'bilberryrail-load')),
-    )
-
-
-def _header(response: Any, name: str) -> str | None:
-    found = response.headers.getRawHeaders(name)
-    return found[0] if found else None
-
-
-def _headers(action: Dispatch, stored: StoredAttempt) -> Headers:
-    remaining_ms = max(action.remaining_s * 1000, 0)
-    headers = {
-        'Bilberryrail-Parent': [str(action.dispatch)],
-        'Bilberryrail-Deadline-Ms': [f'{remaining_ms:.3f}'],
-        'Bilberryrail-Tenant': [stored.tenant],
-    }
-    if stored.payload.content_type:
-        headers['Content-Type'] = [stored.payload.content_type]
-    return Headers(headers)
+def _one_line(text: str) -> str:
+    """Replace characters that would end a header and begin another."""
+    return _CONTROL_CHARACTERS.sub(' ', text)
 
 
 def _health_report(body: bytes) -> BackendReport | None:
--- /dev/null
+++ b/packages/node/bilberryrail/node/backend_connection.py
@@ -0,0 +1,90 @@
+"""One persistent HTTP/1.1 connection to the backend server."""
+
+import math
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.protocol import Protocol
+
+from bilberryrail.node.http_response import (
+    HttpResponse,
+    ResponseError,
+    ResponseParser,
+)
+
+
+class BackendConnection(Protocol):
+    """Sends one request at a time and collects its whole response.
+
+    Attributes
+    ----------
+    asking
+        Deferred of the request without a whole response.
+    idle_since
+        When the last response ended, in seconds of the reactor's clock.
+    """
+
+    def __init__(
+        self,
+        max_body_bytes: int,
+        on_idle: Callable[['BackendConnection'], None],
+        on_lost: Callable[['BackendConnection'], None],
+    ) -> None:
+        self.max_body_bytes = max_body_bytes
+        self.on_idle = on_idle
+        self.on_lost = on_lost
+        self.asking: Deferred[HttpResponse] | None = None
+        self.parser = ResponseParser(max_body_bytes)
+        self.idle_since = -math.inf
+
+    def ask(self, request: bytes) -> Deferred[HttpResponse]:
+        """Send a request; cancelling its deferred closes the connection."""
+        self.parser = ResponseParser(self.max_body_bytes)
+        self.asking = Deferred(self._cancel)
+        self.transport.write(request)
+        return self.asking
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Send small writes at once."""
+        self.transport.setTcpNoDelay(True)  # noqa: WPS425
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read a part of the response."""
+        if self.asking is None:
+            # Bytes that nobody asked for would pass as the next answer.
+            self.transport.abortConnection()
+            return
+        try:
+            self.parser.feed(data)
+        except ResponseError as error:
+            self._fail(error)
+            return
+        if self.parser.has_ended:
+            self._answer()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Fail the request that has no whole response."""
+        self.on_lost(self)
+        fault = f'connection lost after {self.parser.size} bytes of the body'
+        self._fail(ResponseError(fault))
+
+    def _answer(self) -> None:
+        asking = self.asking
+        self.asking = None
+        if self.parser.is_reusable:
+            self.on_idle(self)
+        else:
+            self.transport.loseConnection()
+        asking.callback(self.parser.response())
+
+    def _fail(self, error: ResponseError) -> None:
+        asking = self.asking
+        self.asking = None
+        if asking is not None:
+            self.transport.abortConnection()
+            asking.errback(error)
+
+    def _cancel(self, asking: Deferred[HttpResponse]) -> None:
+        self.asking = None
+        self.transport.abortConnection()
--- /dev/null
+++ b/packages/node/bilberryrail/node/backend_pool.py
@@ -0,0 +1,81 @@
+"""Persistent connections to the backend server, bounded in number."""
+
+from typing import Any, Final
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+
+from bilberryrail.node.backend_connection import BackendConnection
+from bilberryrail.node.http_response import HttpResponse
+from bilberryrail.settings.node import BackendSettings
+
+#: Time after which an idle connection is closed; Twisted's own default.
+IDLE_S: Final = 240.0
+
+
+class BackendPool:
+    """Sends each request exactly once, over an idle or a new connection.
+
+    Attributes
+    ----------
+    limit
+        Connections that stay open when they are idle.
+    idle
+        Connections without a request; the one used last comes last.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: BackendSettings,
+        max_body_bytes: int,
+    ) -> None:
+        self.reactor = reactor
+        self.max_body_bytes = max_body_bytes
+        self.limit = 1
+        self.idle: list[BackendConnection] = []
+        self.endpoint = TCP4ClientEndpoint(
+            reactor,
+            settings.host,
+            settings.port,
+            timeout=settings.connect_timeout_s,
+        )
+        self.factory = Factory.forProtocol(self._connection)
+        self.factory.noisy = False
+
+    def send(self, request: bytes) -> Deferred[HttpResponse]:
+        """Send a request; cancelling its deferred closes the connection.
+
+        Fails with ``ConnectError`` if no byte was sent.
+        """
+        if self.idle:
+            return self.idle.pop().ask(request)
+        connecting = self.endpoint.connect(self.factory)
+        return connecting.addCallback(lambda opened: opened.ask(request))
+
+    def close_unused(self) -> None:
+        """Close connections that have been idle for too long."""
+        ends_at = self.reactor.seconds() - IDLE_S
+        for connection in tuple(self.idle):
+            if connection.idle_since <= ends_at:
+                self.idle.remove(connection)
+                connection.transport.loseConnection()
+
+    def _connection(self) -> BackendConnection:
+        return BackendConnection(
+            self.max_body_bytes,
+            self._put_back,
+            self._forget,
+        )
+
+    def _put_back(self, connection: BackendConnection) -> None:
+        if len(self.idle) >= self.limit:
+            connection.transport.loseConnection()
+            return
+        connection.idle_since = self.reactor.seconds()
+        self.idle.append(connection)
+
+    def _forget(self, connection: BackendConnection) -> None:
+        if connection in self.idle:
+            self.idle.remove(connection)
--- /dev/null
+++ b/packages/node/bilberryrail/node/http_response.py
@@ -0,0 +1,119 @@
+"""Parses one HTTP/1.1 response whose end is stated, with ``httptools``."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Final
+
+import httptools
+
+#: Bytes of status line and headers; a usual bound of HTTP clients.
+MOST_HEAD_BYTES: Final = 65536
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A whole response.
+
+    Attributes
+    ----------
+    headers
+        Names in lower case; the first value of a name counts.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class ResponseError(Exception):
+    """A response that is cut, malformed or too large, or never came."""
+
+
+class ResponseParser:
+    """Feeds bytes to the parser, whose callbacks are the ``on_`` methods.
+
+    A response without a stated length never ends: its end could not be told
+    from a cut.
+
+    Attributes
+    ----------
+    size
+        Bytes of the body so far.
+    has_ended
+        Whether the response is whole.
+    is_reusable
+        Whether the connection may carry another request.
+    """
+
+    def __init__(self, max_body_bytes: int) -> None:
+        self.max_body_bytes = max_body_bytes
+        self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.chunks: list[bytes] = []
+        self.received = 0
+        self.size = 0
+        self.has_head = False
+        self.has_ended = False
+        self.is_reusable = False
+
+    def feed(self, received: bytes) -> None:
+        """Parse a part; raises ``ResponseError`` if it breaks a rule."""
+        self.received += len(received)
+        try:
+            self.parser.feed_data(received)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            self._stop(f'{type(error).__name__}: {error}')
+        if self.size > self.max_body_bytes:
+            raise ResponseError(f'body exceeds {self.max_body_bytes} bytes')
+        if not self.has_head and self.received > MOST_HEAD_BYTES:
+            raise ResponseError(f'headers exceed {MOST_HEAD_BYTES} bytes')
+
+    def response(self) -> HttpResponse:
+        """Build the response that has ended."""
+        return HttpResponse(self.status, self.headers, b''.join(self.chunks))
+
+    def on_message_begin(self) -> None:
+        """Start over after an interim response."""
+        if self.has_ended:
+            # Nobody asked for a second response.
+            self.is_reusable = False
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Keep a header of the first final response."""
+        if not self.has_ended:
+            key = name.decode('latin-1').lower()
+            self.headers.setdefault(key, text.decode('latin-1'))
+
+    def on_headers_complete(self) -> None:
+        """Note the status."""
+        if not self.has_ended:
+            self.status = self.parser.get_status_code()
+            self.has_head = True
+
+    def on_body(self, chunk: bytes) -> None:
+        """Keep a part of the body within the limit."""
+        if self.has_ended:
+            return
+        self.size += len(chunk)
+        if self.size <= self.max_body_bytes:
+            self.chunks.append(chunk)
+
+    def on_message_complete(self) -> None:
+        """Note the end, unless the response was an interim one."""
+        if self.has_ended:
+            return
+        if self.status < HTTPStatus.OK:
+            self.headers.clear()
+            self.has_head = False
+            return
+        self.has_ended = True
+        self.is_reusable = self.parser.should_keep_alive()
+
+    def _stop(self, fault: str) -> None:
+        self.is_reusable = False
+        if not self.has_ended:
+            raise ResponseError(fault)
