Take plain calls from Twisted's HTTP server without klein

Cause: with the shorter link and backend leg the ingress is the largest step, and klein's routing and response handling are the largest part of it.

Change: CallerResource matches the path of a plain call itself and passes everything else, such as reservations and unknown paths, to klein.

--- /dev/null
+++ b/packages/node/bilberryrail/node/caller_resource.py
@@ -0,0 +1,57 @@
+"""Takes usual calls straight from Twisted's HTTP server.
+
+Routing, URL building and response handling of klein cost more than everything
+else that an ingress does with a call. Whatever is not a plain call, such as a
+reservation or a path that matches nothing, goes to klein.
+"""
+
+import re
+from typing import Any, Final, Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.web.resource import IResource, Resource
+from twisted.web.server import NOT_DONE_YET
+
+_CALL: Final = re.compile(
+    rb'/v1/services/([a-z0-9][a-z0-9.-]{0,63})/calls(?:/.+)?',
+)
+
+
+class Callee(Protocol):
+    """What handles a call."""
+
+    def call(self, request: Any, service: str) -> 'Deferred[bytes] | bytes':
+        """Start a call; the result is the body of its response."""
+
+
+class CallerResource(Resource):
+    """Root of the callers' HTTP server."""
+
+    isLeaf = True  # noqa: WPS115
+
+    def __init__(self, callee: Callee, others: IResource) -> None:
+        super().__init__()
+        self.callee = callee
+        self.others = others
+
+    def render(self, request: Any) -> Any:
+        """Handle a request, or pass it on."""
+        usual = _CALL.fullmatch(request.path)
+        if usual is None or request.method != b'POST':
+            return self.others.render(request)
+        response = self.callee.call(request, usual[1].decode('ascii'))
+        if not isinstance(response, Deferred):
+            return response
+        gone = request.notifyFinish()
+        gone.addErrback(lambda _: response.cancel())
+        response.addCallbacks(
+            lambda body: _finish(request, body),
+            # Cancelled: the caller is gone.
+            lambda _: None,
+        )
+        return NOT_DONE_YET
+
+
+def _finish(request: Any, body: bytes) -> None:
+    request.write(body)
+    request.finish()
--- a/packages/node/bilberryrail/node/process.py
+++ b/packages/node/bilberryrail/node/process.py
@@ -9,6 +9,7 @@
 from bilberryrail.control.messages import DrainRequested
 from bilberryrail.node import logs
 from bilberryrail.node.backend_client import BackendClient
+from bilberryrail.node.caller_resource import CallerResource
 from bilberryrail.node.caller_server import CallerServer
 from bilberryrail.node.engine_task import Engine, EngineTask
 from bilberryrail.node.executor import Executor
@@ -61,7 +62,7 @@
         self.log = LogClient(self.engine_task, settings.log)
         self.peer_server = PeerServer(self.links, engine.identity)
         self.caller_site = BoundedSite(
-            self.callers.app.resource(),
+            CallerResource(self.callers, self.callers.app.resource()),
             settings.max_body_bytes,
         )
         self.operator_site = BoundedSite(
