Report an open link again when the engine asks for it

Cause: the engine forgets a link when it releases it, while the shell keeps the link until it is idle. When a call needs the link again, the engine waits for LinkUp, which never came: every call to that node ended as "not run, deadline" until the link closed after 30 s.

The raw backend server answers health checks.

--- a/packages/bench/bilberryrail/bench/raw_http.py
+++ b/packages/bench/bilberryrail/bench/raw_http.py
@@ -11,6 +11,8 @@
 )
 #: Length of the answer ``big``; above the limit of the harness.
 BIG_ANSWER_BYTES: Final = 2000
+#: Answer of a healthy backend server to ``GET /health``.
+HEALTH: Final = b'{"in_flight": 0, "cold": 0, "draining": 0, "boot": "b1"}'
 #: Ends the head of a message.
 _BLANK: Final = b'\r\n\r\n'
 
@@ -132,6 +134,8 @@
         kind = request.path.strip('/').partition('?')[0]
         if kind == 'hang':
             await self.released.wait()
+        if kind == 'health':
+            body = HEALTH
         if kind == 'big':
             body = bytes(BIG_ANSWER_BYTES)
         length = len(body) + (kind == 'cut')
--- a/packages/bench/bilberryrail/bench/shell_latency.py
+++ b/packages/bench/bilberryrail/bench/shell_latency.py
@@ -45,18 +45,19 @@
         for process in processes.values():
             stack.callback(_end, process)
         time.sleep(START_S)
-        measured = asyncio.run(_measure(layout, calls, 1 / rate))
-        _report(*measured)
+        measured = asyncio.run(measure_layout(layout, calls, 1 / rate))
+        report(*measured)
         for role in (Role.INGRESS, Role.TARGET):
-            resident = _resident_mb(processes[role].pid)
+            resident = resident_mb(processes[role].pid)
             typer.echo(f'{role.value} resident: {resident:.1f} MB')
 
 
-def _report(
+def report(
     through: list[float],
     direct: list[float],
     metrics: list[str],
 ) -> None:
+    """Print latencies in ms and the metrics of both nodes' steps."""
     _print('through two nodes', through)
     _print('direct', direct)
     _print('added', _added(through, direct))
@@ -66,7 +67,7 @@
                 typer.echo(f'{name} {line}')
 
 
-def _resident_mb(pid: int) -> float:
+def resident_mb(pid: int) -> float:
     """Read the resident memory of a process in MB (10^6 bytes)."""
     status = pathlib.Path(f'/proc/{pid}/status').read_text()
     _, _, rest = status.partition('VmRSS:')
@@ -86,11 +87,12 @@
     )
 
 
-async def _measure(
+async def measure_layout(
     layout: Layout,
     calls: int,
     interval_s: float,
 ) -> tuple[list[float], list[float], list[str]]:
+    """Measure calls through both nodes, direct calls, and the metrics."""
     ingress = RawClient(layout.ingress.engine.identity.http_port)
     backend = RawClient(layout.target.backend.port)
     await _series((ingress, backend), WARM_UP_CALLS, interval_s)
@@ -121,7 +123,7 @@
     answer = await client.ask(_REQUEST)
     elapsed = time.perf_counter() - started_at
     if answer.status != 200:
-        raise RuntimeError(f'a call was answered with {answer.first}')
+        raise RuntimeError(f'a call was answered with {answer}')
     return elapsed
 
 
--- a/packages/node/bilberryrail/node/executor.py
+++ b/packages/node/bilberryrail/node/executor.py
@@ -34,7 +34,9 @@
         """Carry out one action."""
         match action:
             case actions.CompleteCall():
+                started_at = self.engine_task.reactor.seconds()
                 self.callers.complete(action)
+                self._measure(Step.ANSWER, started_at)
             case actions.RejectCall():
                 self.callers.reject(action)
             case actions.GrantReservation():
@@ -101,6 +103,8 @@
         self.links.send(action.peer, self._frame(action, payload), action)
         if isinstance(action, actions.SendAttempt):
             self._measure(Step.SEND, started_at)
+        elif isinstance(action, actions.SendAnswer):
+            self._measure(Step.ANSWER, started_at)
 
     def _send_to_self(self, action: Any, payload: Payload | None) -> None:
         engine = self.engine_task.engine
--- a/packages/node/bilberryrail/node/metrics.py
+++ b/packages/node/bilberryrail/node/metrics.py
@@ -28,13 +28,18 @@
 
 
 class Step(Enum):
-    """Step of a call whose processing time is measured."""
+    """Step of a call whose processing time is measured.
+
+    ``ANSWER`` is sending an answer on: to the ingress at the target, to the
+    caller at the ingress.
+    """
 
     PARSE = 'parse'
     DECIDE = 'decide'
     SEND = 'send'
     ADMIT = 'admit'
     FORWARD = 'forward'
+    ANSWER = 'answer'
 
 
 class Metrics:
--- a/packages/node/bilberryrail/node/peer_dialer.py
+++ b/packages/node/bilberryrail/node/peer_dialer.py
@@ -56,7 +56,12 @@
         """Open a link, and again after each break, until ``release``."""
         address = (action.host, action.port)
         self.wanted[action.peer] = address
-        self._dial(address, action.peer)
+        if self.links.is_open(action.peer):
+            # The engine waits for LinkUp, also after it released a link that
+            # is still open.
+            self.links.repeat_link_up(action.peer)
+        else:
+            self._dial(address, action.peer)
 
     def release(self, peer: NodeId) -> None:
         """Let a link close when neither side has used it for a while."""
--- a/packages/node/bilberryrail/node/peer_links.py
+++ b/packages/node/bilberryrail/node/peer_links.py
@@ -114,6 +114,10 @@
             link.send(frame)
         self.engine_task.submit(LinkUp(link.member))
 
+    def repeat_link_up(self, peer: NodeId) -> None:
+        """Tell the engine again that a link is open."""
+        self.engine_task.submit(LinkUp(self.links[peer][0].member))
+
     def closing(self, link: PeerLink) -> None:
         """Send nothing more over a link; its last answers may still come."""
         self._remove(link)
@@ -129,7 +133,7 @@
         self.engine_task.submit(LinkDown(peer, link.reason))
         left = self.links.get(peer)
         if left:
-            self.engine_task.submit(LinkUp(left[0].member))
+            self.repeat_link_up(peer)
 
     def received(self, link: PeerLink, frame: peer_pb2.Frame) -> None:
         """Hand a frame to the engine, or end a link that breaks the rules."""
--- a/packages/node/bilberryrail/node/peer_links_test.py
+++ b/packages/node/bilberryrail/node/peer_links_test.py
@@ -180,3 +180,12 @@
     answer = await client.ask(request_bytes(path, TENANT))
     assert answer.status == 200
     await other.close()
+
+
+async def test_link_that_is_released_and_wanted_again(shell, stream, until):
+    """Guards against calls that wait for LinkUp of a link that is open."""
+    await greet(stream)
+    await until(lambda: shell.engine.seen(LinkUp))
+    shell.process.dialer.release('peer')
+    shell.process.dialer.keep_open(OpenLink('peer', MEMBER.host, MEMBER.port))
+    assert len(shell.engine.seen(LinkUp)) == 2
