Answer callers that the engine forgot; test the bound on draining input

Cause: if the engine raises while it handles a call, nothing ends the call and its caller waits for ever. The bound on turns spent on draining input had no test.

--- a/packages/node/bilberryrail/node/caller_server.py
+++ b/packages/node/bilberryrail/node/caller_server.py
@@ -10,11 +10,16 @@
 
 from bilberryrail.core.ids import CallId, ServiceId
 from bilberryrail.core.load import Outcome, Reason
-from bilberryrail.node import caller_reply, caller_request
+from bilberryrail.node import caller_reply, caller_request, logs
+from bilberryrail.node.caller_backstop import FALLBACK_DEADLINE_S, Backstop
 from bilberryrail.node.engine_task import EngineTask
 from bilberryrail.node.metrics import Step
 from bilberryrail.policy import actions
-from bilberryrail.policy.events import CallerGone
+from bilberryrail.policy.events import (
+    CallArrived,
+    CallerGone,
+    ReservationAsked,
+)
 from bilberryrail.wire.content import CallContent
 
 _Checked = Result[
@@ -39,6 +44,7 @@
         self.metrics = engine_task.metrics
         self.waiting: dict[CallId, tuple[Any, Deferred[bytes]]] = {}
         self.ids = itertools.count(1)
+        self.backstop = Backstop(engine_task.reactor, self._expire)
         self.metrics.waiting_callers = self.waiting.__len__
 
     @app.route('/v1/services/<service>/calls', methods=['POST'])
@@ -64,7 +70,7 @@
             headers,
             len(payload.body),
         )
-        response = self._wait(request, call)
+        response = self._wait(request, event)
         elapsed = self.engine_task.reactor.seconds() - started_at
         self.metrics.observe(Step.PARSE, elapsed)
         self.engine_task.submit(event, payload)
@@ -80,10 +86,9 @@
         if self.engine_task.stopped:
             return self._refuse_stopped(request)
         call = CallId(next(self.ids))
-        response = self._wait(request, call)
-        self.engine_task.submit(
-            caller_request.reservation_event(call, service_id, headers),
-        )
+        event = caller_request.reservation_event(call, service_id, headers)
+        response = self._wait(request, event)
+        self.engine_task.submit(event)
         return response
 
     def complete(
@@ -134,19 +139,41 @@
     ) -> None:
         """Write a final response; harmless if the caller is gone."""
         self.engine_task.bodies.calls.pop(call, None)
+        self.backstop.forget(call)
         request, response = self.waiting.pop(call, (None, None))
         if request is None:
             return
         self.metrics.count_outcome(outcome)
         response.callback(_write(request, reply))
 
-    def _wait(self, request: Any, call: CallId) -> Deferred[bytes]:
+    def _wait(
+        self,
+        request: Any,
+        event: CallArrived | ReservationAsked,
+    ) -> Deferred[bytes]:
+        call = event.call
+        self.backstop.watch(call, self._deadline_s(event))
         # klein cancels the deferred when the caller closes its connection.
         response: Deferred[bytes] = Deferred(lambda _: self._gone(call))
         self.waiting[call] = (request, response)
         return response
 
+    def _deadline_s(self, event: CallArrived | ReservationAsked) -> float:
+        if event.deadline_s is not None:
+            return event.deadline_s
+        services = self.engine_task.engine.plane.state.services
+        config = services.get(event.service)
+        return FALLBACK_DEADLINE_S if config is None else config.deadline_s
+
+    def _expire(self, call: CallId) -> None:
+        """End a call that the engine has not ended; it may have run."""
+        logs.warning('call-not-ended', call=call)
+        reply = caller_reply.rejected(Outcome.UNKNOWN, Reason.DEADLINE, 0)
+        self.finish(call, Outcome.UNKNOWN, reply)
+        self.engine_task.submit(CallerGone(call))
+
     def _gone(self, call: CallId) -> None:
+        self.backstop.forget(call)
         if self.waiting.pop(call, None):
             self.engine_task.submit(CallerGone(call))
 
--- a/packages/node/bilberryrail/node/process_test.py
+++ b/packages/node/bilberryrail/node/process_test.py
@@ -7,8 +7,10 @@
 from twisted.internet import reactor
 
 from bilberryrail.bench.raw_http import RawClient, read_message, request_bytes
+from bilberryrail.bench.scripted_engine import LOAD
 from bilberryrail.control import messages
 from bilberryrail.core.records import ChangeOutcome, Verdict
+from bilberryrail.node.engine_task import MOST_DRAIN_TURNS, QUIET_TURNS
 from bilberryrail.node.lifecycle import Phase
 from bilberryrail.policy import actions, events
 
@@ -107,6 +109,25 @@
     assert isinstance(order[-1], events.InputDrained)
 
 
+async def test_steady_input_does_not_delay_input_drained(shell, until):
+    """Guards against a node that never serves again under steady input."""
+    task = shell.process.engine_task
+    turns = []
+
+    def keep_busy():
+        if not shell.engine.seen(events.InputDrained):
+            turns.append(reactor.seconds())
+            task.submit(events.ProbeReplied('n1', 1, LOAD))
+            reactor.callLater(0, keep_busy)
+
+    drain = actions.DrainInput()
+    shell.engine.scripts[events.ProbeReceived] = lambda _: (drain,)
+    task.submit(events.ProbeReceived('n1', 1))
+    keep_busy()
+    await until(lambda: shell.engine.seen(events.InputDrained))
+    assert QUIET_TURNS < len(turns) <= MOST_DRAIN_TURNS + QUIET_TURNS
+
+
 async def test_wakeup_at_is_kept_when_it_moves(shell, until):
     """Guards against a timer that is late or left at an old time."""
     engine, task = shell.engine, shell.process.engine_task
