--- a/packages/node/bilberryrail/node/peer_dialer.py
+++ b/packages/node/bilberryrail/node/peer_dialer.py
@@ -7,7 +7,7 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.protocol import Factory
 
-from bilberryrail.control.messages import LinkDown, OpenLink
+from bilberryrail.control.messages import LinkDown, LinkUp, OpenLink
 from bilberryrail.core.ids import NodeId
 from bilberryrail.core.records import Member
 from bilberryrail.node import logs
@@ -56,12 +56,11 @@
         """Open a link, and again after each break, until ``release``."""
         address = (action.host, action.port)
         self.wanted[action.peer] = address
-        if self.links.is_open(action.peer):
-            # The engine waits for LinkUp, also after it released a link that
-            # is still open.
-            self.links.repeat_link_up(action.peer)
-        else:
-            self._dial(address, action.peer)
+        self._dial(address, action.peer)
+        member = self.links.member_of(action.peer)
+        if member is not None:
+            # The engine waits for LinkUp before it sends anything.
+            self.engine_task.submit(LinkUp(member))
 
     def release(self, peer: NodeId) -> None:
         """Let a link close when neither side has used it for a while."""
--- a/packages/node/bilberryrail/node/peer_links.py
+++ b/packages/node/bilberryrail/node/peer_links.py
@@ -75,6 +75,11 @@
         """Tell whether frames to a peer can be written now."""
         return bool(self.links.get(peer))
 
+    def member_of(self, peer: NodeId) -> Member | None:
+        """Return who is at the other end of an open link."""
+        links = self.links.get(peer)
+        return links[0].member if links else None
+
     def send(self, peer: NodeId, frame: peer_pb2.Frame, action: Any) -> None:
         """Send a frame, opening a link first if there is none."""
         self._note(frame, 'sent')
@@ -114,10 +119,6 @@
             link.send(frame)
         self.engine_task.submit(LinkUp(link.member))
 
-    def repeat_link_up(self, peer: NodeId) -> None:
-        """Tell the engine again that a link is open."""
-        self.engine_task.submit(LinkUp(self.links[peer][0].member))
-
     def closing(self, link: PeerLink) -> None:
         """Send nothing more over a link; its last answers may still come."""
         self._remove(link)
@@ -133,7 +134,7 @@
         self.engine_task.submit(LinkDown(peer, link.reason))
         left = self.links.get(peer)
         if left:
-            self.repeat_link_up(peer)
+            self.engine_task.submit(LinkUp(left[0].member))
 
     def received(self, link: PeerLink, frame: peer_pb2.Frame) -> None:
         """Hand a frame to the engine, or end a link that breaks the rules."""
--- a/packages/node/bilberryrail/node/peer_links_test.py
+++ b/packages/node/bilberryrail/node/peer_links_test.py
@@ -182,10 +182,17 @@
     await other.close()
 
 
-async def test_link_that_is_released_and_wanted_again(shell, stream, until):
+async def test_open_link_is_announced_to_an_engine_that_forgot_it(
+    shell,
+    stream,
+    until,
+):
     """Guards against calls that wait for LinkUp of a link that is open."""
     await greet(stream)
     await until(lambda: shell.engine.seen(LinkUp))
-    shell.process.dialer.release('peer')
-    shell.process.dialer.keep_open(OpenLink('peer', MEMBER.host, MEMBER.port))
-    assert len(shell.engine.seen(LinkUp)) == 2
+    shell.engine.scripts[events.ProbeReceived] = lambda _: (
+        OpenLink('peer', MEMBER.host, MEMBER.port),
+    )
+    shell.process.engine_task.submit(events.ProbeReceived('n1', 1))
+    announced = [up.member.node for up in shell.engine.seen(LinkUp)]
+    assert announced == ['peer', 'peer']
--- a/packages/policy/bilberryrail/policy/ingress.py
+++ b/packages/policy/bilberryrail/policy/ingress.py
@@ -34,6 +34,8 @@
     Arrival,
     Intake,
     TokenTarget,
+    outcome_unsent,
+    token_of,
 )
 from bilberryrail.policy.lifecycle import CallLife
 from bilberryrail.policy.retries import CallLedger, RetryPolicy
@@ -118,7 +120,7 @@
             case events.CallerGone():
                 self.life.end(event.call, None)
             case events.AnswerReceived():
-                self._answer(event, now)
+                self._answer(event, now, view)
             case events.RefusalReceived():
                 self._refuse(event, now, view)
             case events.ReservationGranted():
@@ -188,7 +190,7 @@
     ) -> None:
         if self.draining and arrival.parent is None:
             refusal = Refusal(
-                Outcome.NOT_RUN,
+                outcome_unsent(token_of(arrival)),
                 Reason.DRAINING,
                 RETRY_AFTER_S,
             )
@@ -200,7 +202,12 @@
             return
         self.life.start(admitted.ok_value, now, view)
 
-    def _answer(self, event: events.AnswerReceived, now: Seconds) -> None:
+    def _answer(
+        self,
+        event: events.AnswerReceived,
+        now: Seconds,
+        view: ClusterView,
+    ) -> None:
         attempt = self._find(event.peer, event.attempt)
         if attempt is not None:
             self.sender.answered(attempt, event.size, now)
@@ -211,6 +218,9 @@
             return
         call = attempt.call
         self.sender.release(attempt, ran=True)
+        is_error = event.status >= _SERVER_ERROR
+        if is_error and self.life.replace_error(call, now, view):
+            return
         self.life.end(
             call.call,
             CompleteCall(
@@ -244,6 +254,9 @@
             return
         call = attempt.call
         refusal = Refusal(event.outcome, event.reason, event.retry_after_s)
+        if call.pinned is not None and event.reason is not Reason.LINK_LOST:
+            # The node that the token names knows whether it may have run.
+            call.may_have_run = False
         # The caller cannot help it when a member changed its service.
         misrouted = event.reason is Reason.WRONG_SERVICE and not call.pinned
         if event.outcome is Outcome.INVALID and not misrouted:
--- a/packages/standins/bilberryrail/standins/caller_calls.py
+++ b/packages/standins/bilberryrail/standins/caller_calls.py
@@ -24,6 +24,7 @@
     CallResult,
     new_histogram,
 )
+from bilberryrail.standins.load_settings import LoadNode
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,11 +57,14 @@
     may_have_run
         Whether a submission of the current token, or any lookup, got an
         answer other than a true "not run".
+    cut
+        Whether a submission got no whole answer or an unknown outcome.
     """
 
     outcome: str = 'lost'
     final: bool = False
     may_have_run: bool = False
+    cut: bool = False
     wrong: bool = False
     token: str | None = None
     wait_s: float = 0
@@ -78,14 +82,14 @@
     Attributes
     ----------
     nodes
-        Base URLs of nodes; each submission goes to a random one.
+        Nodes; each submission goes to a random one of the call's regions.
     reasons
         Count of every outcome and reason that was answered on the way.
     """
 
     def __init__(
         self,
-        nodes: tuple[str, ...],
+        nodes: tuple[LoadNode, ...],
         clock: IReactorTime,
         source: random.Random,
     ) -> None:
@@ -115,6 +119,7 @@
             idempotent=call.idempotent,
             outcome=progress.outcome,
             may_have_run=progress.may_have_run,
+            cut=progress.cut,
             wrong=progress.wrong,
         )
 
@@ -166,16 +171,26 @@
         headers = {'Bilberryrail-Tenant': call.tenant}
         if progress.token is not None:
             headers['Bilberryrail-Reservation'] = progress.token
-        node = self.random.choice(self.nodes)
+        node = self.random.choice(self._nodes_for(call))
         answer = await self.http.post(
-            f'{node}/v1/services/{call.service}/{kind}',
+            f'{node.url}/v1/services/{call.service}/{kind}',
             headers,
             msgspec.json.encode({'request': call.request}),
             call.deadline_s,
         )
         self.reasons[_label(kind, answer)] += 1
+        match answer:
+            case NoAnswer() | Refused(outcome='unknown'):
+                progress.cut = True
         return answer
 
+    def _nodes_for(self, call: Call) -> tuple[LoadNode, ...]:
+        if not call.home_regions:
+            return self.nodes
+        return tuple(
+            node for node in self.nodes if node.region in call.home_regions
+        )
+
     def _note_refusal(self, refused: Refused, progress: Progress) -> None:
         progress.outcome = refused.outcome
         progress.wait_s = refused.retry_after_s
