--- a/packages/bench/bilberryrail/bench/shell_latency.py
+++ b/packages/bench/bilberryrail/bench/shell_latency.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import contextlib
+import pathlib
 import subprocess
 import sys
 import time
@@ -40,18 +41,23 @@
     """Print latencies in ms and the metrics of both nodes' steps."""
     layout = new_layout()
     with contextlib.ExitStack() as stack:
-        for role in Role:
-            stack.callback(_end, _start(role, layout))
+        processes = {role: _start(role, layout) for role in Role}
+        for process in processes.values():
+            stack.callback(_end, process)
         time.sleep(START_S)
-        measured = asyncio.run(_measure(layout, calls, 1 / rate))
-        _report(*measured)
+        measured = asyncio.run(measure_layout(layout, calls, 1 / rate))
+        report(*measured)
+        for role in (Role.INGRESS, Role.TARGET):
+            resident = resident_mb(processes[role].pid)
+            typer.echo(f'{role.value} resident: {resident:.1f} MB')
 
 
-def _report(
+def report(
     through: list[float],
     direct: list[float],
     metrics: list[str],
 ) -> None:
+    """Print latencies in ms and the metrics of both nodes' steps."""
     _print('through two nodes', through)
     _print('direct', direct)
     _print('added', _added(through, direct))
@@ -61,6 +67,13 @@
                 typer.echo(f'{name} {line}')
 
 
+def resident_mb(pid: int) -> float:
+    """Read the resident memory of a process in MB (10^6 bytes)."""
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    _, _, rest = status.partition('VmRSS:')
+    return int(rest.split()[0]) * 1024 / 1e6
+
+
 def _end(process: subprocess.Popen[bytes]) -> None:
     process.terminate()
     process.wait()
@@ -74,11 +87,12 @@
     )
 
 
-async def _measure(
+async def measure_layout(
     layout: Layout,
     calls: int,
     interval_s: float,
 ) -> tuple[list[float], list[float], list[str]]:
+    """Measure calls through both nodes, direct calls, and the metrics."""
     ingress = RawClient(layout.ingress.engine.identity.http_port)
     backend = RawClient(layout.target.backend.port)
     await _series((ingress, backend), WARM_UP_CALLS, interval_s)
@@ -109,7 +123,7 @@
     answer = await client.ask(_REQUEST)
     elapsed = time.perf_counter() - started_at
     if answer.status != 200:
-        raise RuntimeError(f'a call was answered with {answer.first}')
+        raise RuntimeError(f'a call was answered with {answer}')
     return elapsed
 
 
--- a/packages/node/bilberryrail/node/process.py
+++ b/packages/node/bilberryrail/node/process.py
@@ -9,6 +9,7 @@
 from bilberryrail.control.messages import DrainRequested
 from bilberryrail.node import logs
 from bilberryrail.node.backend_client import BackendClient
+from bilberryrail.node.caller_resource import CallerResource
 from bilberryrail.node.caller_server import CallerServer
 from bilberryrail.node.engine_task import Engine, EngineTask
 from bilberryrail.node.executor import Executor
@@ -67,7 +68,7 @@
         self.log = LogClient(self.engine_task, settings.log)
         self.peer_server = PeerServer(self.links, engine.identity)
         self.caller_site = BoundedSite(
-            self.callers.app.resource(),
+            CallerResource(self.callers, self.callers.app.resource()),
             settings.max_body_bytes,
         )
         self.operator_site = BoundedSite(
@@ -133,7 +134,8 @@
 
     def _is_writing(self) -> bool:
         """Tell whether links or appends, such as Leave, are unfinished."""
-        return bool(self.links.links) or self.log.appending > 0
+        links = self.links
+        return bool(links.links or links.ending) or self.log.appending > 0
 
     async def _listen(self, host: str, port: int, site: BoundedSite) -> None:
         endpoint = TCP4ServerEndpoint(self.reactor, port, BACKLOG, host)
