--- a/packages/control/bilberryrail/control/intake.py
+++ b/packages/control/bilberryrail/control/intake.py
@@ -23,6 +23,7 @@
     def __init__(self, parts: Parts) -> None:
         self.parts = parts
         self.replica = parts.replica
+        self.snapshot_timer = snapshots.SnapshotTimer(parts.directory)
 
     def hear_records(
         self,
@@ -55,6 +56,7 @@
         self.parts.membership.observe(self.replica.state, applied)
         for entry in applied:
             self._note_applied(entry)
+            self.snapshot_timer.observe(entry, now)
         yield from self.parts.relay.push(now)
         if self._appends_snapshot(before):
             yield from self._append_snapshot(now)
@@ -77,6 +79,13 @@
             self.parts.evictions.start(self.replica.state)
         yield from self.parts.relay.push(now)
 
+    def keep_snapshot(self, now: Seconds) -> Iterator[messages.ControlAction]:
+        """Append a snapshot when none came for a long time."""
+        if not self._may_append_snapshot():
+            return
+        if self.snapshot_timer.is_due(self.replica.state.offset, now):
+            yield from self._append_snapshot(now)
+
     def spread(
         self,
         members: tuple[Member, ...],
@@ -110,8 +119,12 @@
             case Leave(node=node) | Evict(node=node):
                 self.parts.evictions.observe(node, self.replica.state)
 
+    def _may_append_snapshot(self) -> bool:
+        is_reader = self.parts.placement.is_reader
+        return is_reader and self.parts.log.available and self.replica.caught_up
+
     def _appends_snapshot(self, before: Offset) -> bool:
-        if not (self.parts.placement.is_reader and self.replica.caught_up):
+        if not self._may_append_snapshot():
             return False
         after = self.replica.state.offset
         return snapshots.is_chosen(self.parts.directory, before, after)
--- a/packages/control/bilberryrail/control/plane.py
+++ b/packages/control/bilberryrail/control/plane.py
@@ -160,6 +160,7 @@
         self.upkeep.watch_members()
         yield from self.links.subscribe(now)
         yield from self.upkeep.read_log(now)
+        yield from self.intake.keep_snapshot(now)
         if parts.replica.caught_up:
             yield from parts.announcer.check(parts.replica.state, now)
         yield from parts.outbox.repeat(now)
--- a/packages/control/bilberryrail/control/plane_test.py
+++ b/packages/control/bilberryrail/control/plane_test.py
@@ -14,6 +14,7 @@
     ClusterState,
     Evict,
     Join,
+    SnapshotPart,
     Verdict,
 )
 
@@ -210,6 +211,32 @@
     _assert_agree(network)
 
 
+def test_small_site_keeps_a_snapshot(make_network):
+    """Guards against a site whose few records never reach the next snapshot.
+
+    Its log drops old records all the same, and a fresh node without peers
+    that answer could not start.
+    """
+    network = make_network(RelaySettings(snapshot_interval_s=20))
+    network.start(*_names(0, 4))
+    network.run(70)
+    parts = [
+        record
+        for record in network.log.records
+        if isinstance(record, SnapshotPart)
+    ]
+    # One by time, and none while nothing follows the last one.
+    assert len(parts) == 1
+    network.append(_change('c1'))
+    network.run(30)
+    assert len(network.events('snapshot_appended')) == 2
+    network.log.first = len(network.log.records) - 1
+    network.start('late')
+    network.run(10)
+    assert network.events('snapshot_used') == ['late']
+    _assert_agree(network)
+
+
 def test_expired_records_without_snapshot(network):
     """Guards against a reader that is stuck when nothing can be replayed."""
     reader = network.readers()[0]
--- a/packages/control/bilberryrail/control/settings.py
+++ b/packages/control/bilberryrail/control/settings.py
@@ -61,5 +61,6 @@
     missed_refreshes: Annotated[int, msgspec.Meta(ge=1)] = 2
     log_retry_s: _Duration = 0.5
     snapshot_every_records: Annotated[int, msgspec.Meta(ge=1)] = 5000
+    snapshot_interval_s: _Duration = 900.0
     snapshot_part_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 262144
     seeds: tuple[SeedPeer, ...] = ()
--- a/packages/control/bilberryrail/control/snapshots.py
+++ b/packages/control/bilberryrail/control/snapshots.py
@@ -1,7 +1,55 @@
 """Which log reader appends a snapshot, and when."""
 
+from typing import Final
+
 from bilberryrail.control.directory import Directory, hash_of
-from bilberryrail.core.ids import Offset
+from bilberryrail.core.ids import NO_OFFSET, Offset, Seconds
+from bilberryrail.core.records import LogEntry, SnapshotPart
+
+#: Share of the interval by which each further reader waits longer, so that it
+#: only stands in for readers before it that are away.
+_STAGGER: Final = 0.1
+
+
+class SnapshotTimer:
+    """Tells when a snapshot is due because none came for a long time.
+
+    A small site has too few records to reach the next multiple of
+    ``snapshot_every_records`` before its log drops the last snapshot; a fresh
+    node without peers could then not start.
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        self.directory = directory
+        self._waits_since: Seconds | None = None
+        self._last_part = NO_OFFSET
+
+    def observe(self, entry: LogEntry, now: Seconds) -> None:
+        """Note a part of a snapshot in the log."""
+        if isinstance(entry.record, SnapshotPart):
+            self._waits_since = now
+            self._last_part = entry.offset
+
+    def is_due(self, offset: Offset, now: Seconds) -> bool:
+        """Tell whether this reader appends a snapshot now, and start over.
+
+        The wait begins with the first record after the last snapshot.
+        """
+        if self._waits_since is None or offset <= self._last_part:
+            self._waits_since = now
+            return False
+        wait_s = self.directory.settings.snapshot_interval_s
+        wait_s *= 1 + _STAGGER * self._turn()
+        if now - self._waits_since < wait_s:
+            return False
+        self._waits_since = now
+        return True
+
+    def _turn(self) -> int:
+        own = self.directory.identity.region
+        regions = sorted({own, *self.directory.other_regions()})
+        readers = self.directory.settings.readers_per_region
+        return regions.index(own) * readers + self.directory.position()
 
 
 def is_chosen(directory: Directory, before: Offset, after: Offset) -> bool:
