--- a/packages/node/bilberryrail/node/caller_server.py
+++ b/packages/node/bilberryrail/node/caller_server.py
@@ -169,7 +169,7 @@
 
     def _expire(self, call: CallId) -> None:
         """End a call that the engine has not ended; it may have run."""
-        logs.warning('call-not-ended', call=call)
+        logs.warning('call_not_ended', call=call)
         reply = caller_reply.rejected(Outcome.UNKNOWN, Reason.DEADLINE, 0)
         self.finish(call, Outcome.UNKNOWN, reply)
         self.engine_task.submit(CallerGone(call))
--- a/packages/node/bilberryrail/node/log_client.py
+++ b/packages/node/bilberryrail/node/log_client.py
@@ -158,7 +158,7 @@
 def _entry(offset: int, raw: bytes) -> LogEntry:
     record = read_record(raw)
     if isinstance(record, Unreadable):
-        logs.warning('record-unreadable', offset=offset, bytes=len(raw))
+        logs.warning('record_unreadable', offset=offset, bytes=len(raw))
     return LogEntry(Offset(offset), record)
 
 
--- a/packages/node/bilberryrail/node/peer_dialer.py
+++ b/packages/node/bilberryrail/node/peer_dialer.py
@@ -137,7 +137,7 @@
             await self._open(link, address)
         except Exception as error:
             reason = f'{type(error).__name__}: {error}'
-            logs.warning('link-not-opened', address=address, reason=reason)
+            logs.warning('link_not_opened', address=address, reason=reason)
             if peer is not None:
                 self.links.refuse_held(peer)
                 self.engine_task.submit(LinkDown(peer, reason))
--- a/packages/node/bilberryrail/node/peer_link.py
+++ b/packages/node/bilberryrail/node/peer_link.py
@@ -100,7 +100,7 @@
     def fail(self, reason: str) -> None:
         """Close the link: the peer breaks the protocol or is too slow."""
         peer = self.member.node if self.member else 'unknown'
-        logs.warning('link-failed', peer=peer, reason=reason)
+        logs.warning('link_failed', peer=peer, reason=reason)
         self.machine.failed(reason)
 
     def connected(self) -> None:
@@ -123,7 +123,7 @@
         """Note that the connection is gone."""
         self._stop_timer()
         if self.phase is LinkPhase.UP:
-            logs.warning('link-lost', peer=self.member.node, reason=reason)
+            logs.warning('link_lost', peer=self.member.node, reason=reason)
         self.machine.lost(reason)
 
     def greet(self) -> None:
--- a/packages/node/bilberryrail/node/peer_links.py
+++ b/packages/node/bilberryrail/node/peer_links.py
@@ -194,7 +194,7 @@
 
     def _bad_frame(self, link: PeerLink, error: WireError) -> None:
         peer = link.member.node
-        logs.warning('bad-frame', peer=peer, reason=error.reason)
+        logs.warning('bad_frame', peer=peer, reason=error.reason)
         match error:
             case AnswerError(attempt=attempt, load=load):
                 reason = Reason.INCOMPLETE_ANSWER
--- a/packages/node/bilberryrail/node/process.py
+++ b/packages/node/bilberryrail/node/process.py
@@ -161,7 +161,7 @@
 def _report_failure(closing: 'asyncio.Future[None]') -> None:
     error = closing.exception()
     if error is not None:
-        logs.warning('close-failed', reason=repr(error))
+        logs.warning('close_failed', reason=repr(error))
 
 
 def _as_future(awaited: Any) -> 'asyncio.Future[Any]':
