--- a/packages/bench/bilberryrail/bench/__main__.py
+++ b/packages/bench/bilberryrail/bench/__main__.py
@@ -6,6 +6,7 @@
 import typer
 
 from bilberryrail.bench import slopes as slope_tables
+from bilberryrail.bench.orphans import measure as measure_orphans
 from bilberryrail.bench.table import measure
 
 #: Half of the cores, so that a measurement leaves the machine usable.
@@ -43,6 +44,15 @@
         typer.echo(line)
 
 
+@application.command()
+def orphans(
+    seed: Annotated[int, typer.Option(help='Seed of all draws.')] = 1,
+) -> None:
+    """Measure slot time on calls whose ingress died."""
+    for line in measure_orphans(seed):
+        typer.echo(line)
+
+
 @application.callback()
 def main() -> None:
     """Measure the decisions on the paused clock."""
--- a/packages/bench/bilberryrail/bench/fabric.py
+++ b/packages/bench/bilberryrail/bench/fabric.py
@@ -101,7 +101,6 @@
             )
             for identity in deployment.identities()
         }
-        self.executions: dict[int, int] = {}
         self._by_region: dict[RegionId, list[SimulatedNode]] = {}
         for node in self.nodes.values():
             self._by_region.setdefault(node.identity.region, []).append(node)
@@ -265,8 +264,6 @@
         if out_since is not None:
             late = self.scheduler.now - out_since > ZONE_LIMIT_S
             self.result.into_zone += late
-        number = action.attempt
-        self.executions[number] = self.executions.get(number, 0) + 1
 
         def finished(status: int) -> None:
             answered = events.BackendAnswered(
--- a/packages/bench/bilberryrail/bench/results.py
+++ b/packages/bench/bilberryrail/bench/results.py
@@ -39,7 +39,6 @@
     refused: int = 0
     lost: int = 0
     failed: int = 0
-    doubled: int = 0
     probes: int = 0
     probe_bytes: int = 0
     call_bytes: int = 0
--- a/packages/proofs/bilberryrail/proofs/checkers_test.py
+++ b/packages/proofs/bilberryrail/proofs/checkers_test.py
@@ -16,10 +16,9 @@
 from bilberryrail.policy import actions
 from bilberryrail.policy.backend_state import BackendState
 from bilberryrail.policy.cold_start import ColdStart
-from bilberryrail.policy.ingress import IngressRole
+from bilberryrail.policy.engine import NodeEngine
 from bilberryrail.policy.probing import Prober
 from bilberryrail.policy.reservations import ReservationState, ReservationTable
-from bilberryrail.policy.target import TargetRole
 from bilberryrail.policy.view import ClusterView
 from bilberryrail.proofs import faults
 from bilberryrail.proofs.scenario import Scenario
@@ -110,8 +109,13 @@
 
 
 def stop_at_once(patch):
-    patch.setattr(TargetRole, 'idle', property(lambda _: True))
-    patch.setattr(IngressRole, 'idle', property(lambda _: True))
+    def stop(engine, now):
+        if not engine.draining or engine.stopped:
+            return ()
+        engine.stopped = True
+        return (actions.Stop(),)
+
+    patch.setattr(NodeEngine, '_stop', stop)
 
 
 def serve_early(patch):
