--- a/packages/bench/bilberryrail/bench/slope_messages.py
+++ b/packages/bench/bilberryrail/bench/slope_messages.py
@@ -1,6 +1,6 @@
 """Bytes and processor time of records, messages and relay rounds.
 
-Frame sizes are encoded protobuf frames; the 14 bytes that gRPC and HTTP/2 put
+Frame sizes are encoded protobuf frames; the 4 bytes of length that the link puts
 before each message, and TCP/IP headers, come on top.
 """
 
@@ -45,8 +45,8 @@
     messages.SendStatus,
     messages.SendSubscribe,
 )
-#: Bytes before each message: 9 of an HTTP/2 DATA frame, 5 of gRPC.
-FRAMING_BYTES: Final = 14
+#: Bytes of the length before each frame.
+FRAMING_BYTES: Final = 4
 
 
 def refresh(number: int) -> Join:
