Let callers drop a token that was sent to nobody

Its first submission met a node that was catching up, which said "unknown" without asking anybody. The stand-in caller took this for a call that may have run, so it kept the token when the issuer then said "not run" while draining, until the issuer was gone. The delay of Leave had nothing to do with it: 0.4 s and 1.2 s both showed it.

Change: a submission that a node did not take on (draining, catching-up, stale-view) leaves open only what earlier submissions did. LEAVE_DELAY_S is 0.4 s again.

--- a/packages/control/bilberryrail/control/announcer.py
+++ b/packages/control/bilberryrail/control/announcer.py
@@ -14,10 +14,8 @@
 _HASH_RANGE: Final = 1 << HASH_BITS
 #: Time from the start of a drain to Leave, in seconds. Once a node is no
 #: member, a reservation that it issued gives "outcome unknown"; until then
-#: the node itself can say that the call did not run. With 0.4 s, callers on
-#: a busy machine were too late: one booking of some hundreds in one of ten
-#: rolling replacements.
-LEAVE_DELAY_S: Final = 1.2
+#: the node itself can say that the call did not run.
+LEAVE_DELAY_S: Final = 0.4
 
 
 class Announcer:
--- a/packages/standins/bilberryrail/standins/caller_calls.py
+++ b/packages/standins/bilberryrail/standins/caller_calls.py
@@ -158,7 +158,10 @@
                     # another target cannot double the call.
                     progress.token = None
             case Refused() as refused:
-                progress.may_have_run = True
+                # A node that took nothing on leaves open only what earlier
+                # submissions did, and the caller knows those.
+                may_run = is_cut(refused)
+                progress.may_have_run = progress.may_have_run or may_run
                 self._note_refusal(refused, progress)
             case NotSent():
                 progress.wait_s = DEFAULT_RETRY_S
--- a/packages/standins/bilberryrail/standins/caller_test.py
+++ b/packages/standins/bilberryrail/standins/caller_test.py
@@ -86,6 +86,24 @@
     ]
 
 
+def test_submission_sent_to_nobody_allows_a_new_reservation():
+    """Guards against a caller that clings to the token of a drained node.
+
+    A fresh ingress said "unknown" without asking anybody; the target's "not
+    run" then holds for the only submission there was.
+    """
+    unsent = Refused('unknown', 'catching-up', 0.1)
+    node = ScriptedNode(
+        granted('t1'),
+        unsent,
+        NOT_RUN,
+        granted('t2'),
+        whole(),
+    )
+    assert run(node, idempotent=False).outcome == 'completed'
+    assert [token for _, token in node.seen] == [None, 't1', 't1', None, 't2']
+
+
 @pytest.mark.parametrize(
     ('answer', 'expected'),
     [
