Remove what stood twice or was not used

Cause: a read-through of the whole change found the splitting of msgspec's errors in two modules, the HTTP status 500 as a constant in two modules, and code that nothing calls any more.

Change: control/json_errors.py serves intents and plans; statuses come from http.HTTPStatus; ControlPlane.version (the engine follows view_version), Links.peers_of and Orphan.started_s are gone. No test was changed.

--- a/packages/bench/bilberryrail/bench/orphans.py
+++ b/packages/bench/bilberryrail/bench/orphans.py
@@ -41,7 +41,6 @@
 class Orphan:
     """A call that was running when its ingress died."""
 
-    started_s: float
     ended_s: float | None = None
 
 
@@ -96,7 +95,7 @@
             self._later(NOTICE_S, node, lost)
 
     def _dispatch(self, node: SimulatedNode, action: actions.Dispatch) -> None:
-        call = Orphan(self.scheduler.now)
+        call = Orphan()
         self.running[node.identity.node, action.dispatch] = call
         is_abortable = node.identity.service == LOOKUPS
         is_remote = node.identity.node != self.victim
--- a/packages/control/bilberryrail/control/intents.py
+++ b/packages/control/bilberryrail/control/intents.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from bilberryrail.control.errors import IntentError
+from bilberryrail.control.json_errors import place_and_reason
 from bilberryrail.control.settings import NAME, SECONDS_PER_DAY
 from bilberryrail.core.ids import (
     AvailabilityZoneId,
@@ -71,16 +72,12 @@
     try:
         intent = msgspec.json.decode(raw, type=Intent)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Err(_from_msgspec(error))
+        field, reason = place_and_reason(error, 'intent')
+        return Err(IntentError(field, reason))
     problem = next(_contradictions(intent), None)
     return Ok(intent) if problem is None else Err(problem)
 
 
-def _from_msgspec(error: Exception) -> IntentError:
-    reason, _, path = str(error).partition(' - at `$')
-    return IntentError(field=path.strip('`.') or 'intent', reason=reason)
-
-
 def _contradictions(intent: Intent) -> Iterator[IntentError]:
     yield from _repeated('zones', (zone.zone for zone in intent.zones))
     yield from _repeated(
--- a/packages/control/bilberryrail/control/plane.py
+++ b/packages/control/bilberryrail/control/plane.py
@@ -10,7 +10,7 @@
 from bilberryrail.control.parts import build_parts
 from bilberryrail.control.settings import NodeIdentity, RelaySettings
 from bilberryrail.control.upkeep import Upkeep
-from bilberryrail.core.ids import Incarnation, NodeId, Offset, RecordId, Seconds
+from bilberryrail.core.ids import Incarnation, NodeId, RecordId, Seconds
 from bilberryrail.core.records import ChangeOutcome, ClusterState, Member
 
 
@@ -78,14 +78,9 @@
         """Whether the log answered when this node last asked it."""
         return self.parts.log.available
 
-    @property
-    def version(self) -> tuple[Offset, int]:
-        """Changes with ``state``, ``unlogged`` or ``leaving``."""
-        return (self.parts.replica.state.offset, self.parts.membership.version)
-
     @property
     def view_version(self) -> int:
-        """Like ``version``, but stays when members merely refresh."""
+        """Changes with the state, ``unlogged`` and ``leaving``, not by refreshes."""
         return self.parts.membership.version
 
     def status(self, now: Seconds) -> messages.StatusReport:
--- a/packages/policy/bilberryrail/policy/backend_state.py
+++ b/packages/policy/bilberryrail/policy/backend_state.py
@@ -5,6 +5,7 @@
 """
 
 import math
+from http import HTTPStatus
 from typing import Final
 
 from bilberryrail.core.ids import Seconds
@@ -24,8 +25,6 @@
 _FAILED_CALLS: Final = 2
 #: Interval at which a stall is looked at, so that the limit keeps falling.
 _STALL_INTERVAL_S: Final = 0.005
-_SERVER_ERROR: Final = 500
-_OVERLOADED: Final = 503
 
 
 class BackendState:
@@ -93,9 +92,9 @@
         self._failed_calls = 0
         waited_s = table.waiting_s(self._answered_at, now)
         self._answered_at = now
-        if status == _OVERLOADED:
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
             self.limiter.shed(limits, now)
-        if status >= _SERVER_ERROR:
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             self.breaker.failed(now)
             return
         self.breaker.answered()
--- a/packages/policy/bilberryrail/policy/ingress.py
+++ b/packages/policy/bilberryrail/policy/ingress.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Iterable
+from http import HTTPStatus
 from random import Random
 from typing import Final
 
@@ -54,8 +55,6 @@
         Reason.TOO_LARGE,
     ),
 )
-#: HTTP status from which an answer counts as an error of its target.
-_SERVER_ERROR: Final = 500
 
 
 class IngressRole:
@@ -213,14 +212,14 @@
         attempt = self._find(event.peer, event.attempt)
         if attempt is not None:
             self.sender.answered(attempt, event.size, now)
-            if event.status >= _SERVER_ERROR:
+            if event.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
                 self.sender.book.failed(event.peer)
         self._heard(event.peer, event.load, now)
         if attempt is None:
             return
         call = attempt.call
         self.sender.release(attempt, ran=True)
-        is_error = event.status >= _SERVER_ERROR
+        is_error = event.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if is_error and self.life.replace_error(call, now, view):
             return
         self.life.end(
--- a/packages/proofs/bilberryrail/proofs/links.py
+++ b/packages/proofs/bilberryrail/proofs/links.py
@@ -57,15 +57,6 @@
         """Close a link, and tell whether there was one."""
         return self._up.pop(frozenset((node, peer)), None) is not None
 
-    def peers_of(self, node: NodeId) -> tuple[NodeId, ...]:
-        """List the nodes that a node has a link to."""
-        return tuple(
-            other
-            for pair in self._up
-            if node in pair
-            for other in pair - {node}
-        )
-
     def send(
         self,
         node: NodeId,
