--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about forwarded HTTP requests, without I/O."""
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/cold.py
@@ -0,0 +1,64 @@
+"""Bound on the requests a second that reach a cold backend server."""
+
+from collections import deque
+from typing import Final
+
+from bilberryrail.core.ids import Seconds
+
+#: Length of the sliding window, with a margin for requests that are sent in
+#: one window and arrive in the next.
+WINDOW_S: Final = 1.1
+
+#: Part of the allowed requests that is used; the rest covers requests that
+#: were sent before the backend server turned cold.
+SHARE: Final = 0.8
+
+
+class ColdLimiter:
+    """Counts what was sent in the last second.
+
+    The node beside a backend server is the only way to it, so its count is
+    the sum over all nodes.
+
+    Attributes
+    ----------
+    cold_until
+        When the backend server stops being cold.
+    """
+
+    def __init__(self) -> None:
+        self.cold_until = Seconds(0)
+        self.sent: deque[Seconds] = deque()
+
+    def is_cold(self, now: Seconds) -> bool:
+        """Tell whether the backend server is known to be cold."""
+        return now < self.cold_until
+
+    def turned_cold(self, period_s: float, now: Seconds) -> None:
+        """Note for how long the backend server says it will be cold."""
+        self.cold_until = max(self.cold_until, Seconds(now + period_s))
+
+    def turned_warm(self) -> None:
+        """Note that the backend server says it is not cold."""
+        self.cold_until = Seconds(0)
+
+    def note(self, now: Seconds) -> None:
+        """Count a request that is sent now."""
+        self._expire(now)
+        self.sent.append(now)
+
+    def room(self, most_per_s: float, now: Seconds) -> bool:
+        """Tell whether another request fits under a rate."""
+        self._expire(now)
+        return len(self.sent) < max(1, int(most_per_s * SHARE))
+
+    def room_at(self, most_per_s: float, now: Seconds) -> Seconds:
+        """Return when there will be room."""
+        if self.room(most_per_s, now):
+            return now
+        index = len(self.sent) - max(1, int(most_per_s * SHARE))
+        return Seconds(self.sent[index] + WINDOW_S)
+
+    def _expire(self, now: Seconds) -> None:
+        while self.sent and self.sent[0] <= now - WINDOW_S:
+            self.sent.popleft()
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -0,0 +1,469 @@
+"""Ingress role: the life of a client's request until its only answer."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from random import Random
+from typing import Any, Final, Protocol
+
+from bilberryrail.core.ids import AttemptId, NodeId, Seconds, ServiceId
+from bilberryrail.forwarding.messages import (
+    Answered,
+    Cancel,
+    Failed,
+    Forward,
+    Refused,
+)
+from bilberryrail.forwarding.records import (
+    REACHED_BACKEND,
+    BackendLoad,
+    Failure,
+    HttpAnswer,
+    HttpRequest,
+    Refusal,
+    Route,
+)
+from bilberryrail.forwarding.repeats import RepeatBudget
+from bilberryrail.forwarding.selection import CandidateBook, Choice
+from bilberryrail.forwarding.settings import ForwardingSettings
+
+#: Retry time when no target is known, in seconds.
+NO_TARGET_RETRY_S: Final = 0.3
+
+#: Shortest retry time that is sent, in seconds.
+LEAST_RETRY_S: Final = 0.05
+
+#: Multiple of the next best target's expected time that a target may take
+#: before it passes a request on; a detour costs a round trip and the body.
+BOUND_FACTOR: Final = 1.5
+
+#: Width of the random factor that spreads returning clients over time.
+_RETRY_SPREAD: Final = 0.5
+
+#: Rank of calls made by a running request; they go before new requests.
+NESTED_RANK: Final = 0
+
+#: Part of the remaining time that a second attempt needs at least.
+_HEDGE_SHARE: Final = 1.5
+
+
+class TargetLinks(Protocol):
+    """Sends messages to targets."""
+
+    def send(self, node: NodeId, message: Forward | Cancel) -> None:
+        """Send a message; a request that cannot be sent comes back refused."""
+
+    def is_up(self, node: NodeId) -> bool:
+        """Tell whether a message can be sent at once."""
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """A request at one target."""
+
+    attempt: AttemptId
+    exchange: 'Exchange'
+    node: NodeId
+    sent_at: Seconds
+    is_repeat: bool
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """A client's request until it is answered.
+
+    Attributes
+    ----------
+    excluded
+        Nodes that refused or got the request, with the reason if any.
+    reached
+        Nodes whose backend server may have got it.
+    may_have_run
+        Whether an attempt ended without a known outcome.
+    """
+
+    request: HttpRequest
+    request_id: str
+    route: Route
+    service: ServiceId
+    is_nested: bool
+    arrived_at: Seconds
+    expires_at: Seconds
+    respond: Callable[[HttpAnswer], None]
+    attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
+    excluded: dict[NodeId, Refusal | None] = field(default_factory=dict)
+    reached: set[NodeId] = field(default_factory=set)
+    refusals: int = 0
+    retry_after_s: float = 0
+    may_have_run: bool = False
+    last_answer: HttpAnswer | None = None
+    is_over: bool = False
+    timers: list[Any] = field(default_factory=list)
+
+
+class Ingress:
+    """Sends clients' requests to targets and answers the clients.
+
+    Attributes
+    ----------
+    on_decision
+        Takes one line for the log about each decision.
+    on_finished
+        Takes each answered exchange and its status, for the metrics.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        clock: Any,
+        random: Random,
+        book: CandidateBook,
+        links: TargetLinks,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.random = random
+        self.book = book
+        self.links = links
+        self.repeats = RepeatBudget(settings.repeats)
+        self.exchanges: set[Exchange] = set()
+        self.attempts: dict[AttemptId, Attempt] = {}
+        self.on_decision: Callable[..., None] = _ignore
+        self.on_finished: Callable[[Exchange, int], None] = _ignore_end
+        self._ids = itertools.count(1)
+
+    @property
+    def idle(self) -> bool:
+        """Whether no request waits for its answer."""
+        return not self.exchanges
+
+    def arrive(self, exchange: Exchange) -> None:
+        """Start to serve a request."""
+        self.exchanges.add(exchange)
+        self.repeats.earn(exchange.service)
+        left_s = max(0, exchange.expires_at - self._now())
+        expiry = self.clock.callLater(left_s, self._expire, exchange)
+        exchange.timers.append(expiry)
+        self._place(exchange, is_repeat=False)
+
+    def abandon(self, exchange: Exchange) -> None:
+        """End a request whose client has gone."""
+        if not exchange.is_over:
+            self.on_decision('abandoned', exchange)
+            self._close(exchange)
+
+    def refused(self, node: NodeId, reply: Refused) -> None:
+        """Try another target: this one has not run the request."""
+        now = self._now()
+        self._heard(node, reply.load, now)
+        attempt = self._end(node, reply.attempt)
+        if reply.reason in {Refusal.LINK_DOWN, Refusal.CONNECT_FAILED}:
+            self.book.avoid(node, now)
+        if attempt is None:
+            return
+        exchange = attempt.exchange
+        exchange.refusals += 1
+        exchange.excluded[node] = reply.reason
+        if reply.reason in REACHED_BACKEND:
+            exchange.reached.add(node)
+        exchange.retry_after_s = max(
+            exchange.retry_after_s,
+            reply.retry_after_s,
+        )
+        self.on_decision(
+            'refused',
+            exchange,
+            target=node,
+            reason=reply.reason.value,
+        )
+        if exchange.attempts:
+            return
+        is_repeat = bool(exchange.reached)
+        if is_repeat and not self._may_repeat(exchange):
+            self._give_up(exchange, 'no-repeat-left')
+            return
+        self._place(exchange, is_repeat=is_repeat)
+
+    def answered(self, node: NodeId, reply: Answered) -> None:
+        """Give the client its answer, or replace an error if possible."""
+        self._heard(node, reply.load, self._now())
+        attempt = self._end(node, reply.attempt)
+        if attempt is None:
+            return
+        exchange = attempt.exchange
+        exchange.reached.add(node)
+        status = reply.answer.status
+        is_error = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if is_error and exchange.route.idempotent:
+            exchange.last_answer = reply.answer
+            if exchange.attempts:
+                return
+            if self._may_repeat(exchange):
+                self._place(exchange, is_repeat=True)
+                return
+        self._respond(exchange, reply.answer, node)
+
+    def failed(self, node: NodeId, reply: Failed) -> None:
+        """Repeat an idempotent request, or say that its end is unknown."""
+        now = self._now()
+        self._heard(node, reply.load, now)
+        if reply.reason is Failure.LINK_LOST:
+            self.book.avoid(node, now)
+        attempt = self._end(node, reply.attempt)
+        if attempt is None:
+            return
+        exchange = attempt.exchange
+        exchange.reached.add(node)
+        exchange.may_have_run = True
+        exchange.excluded[node] = None
+        self.on_decision(
+            'failed',
+            exchange,
+            target=node,
+            reason=reply.reason.value,
+        )
+        if exchange.attempts:
+            return
+        if exchange.route.idempotent and self._may_repeat(exchange):
+            self._place(exchange, is_repeat=True)
+        else:
+            self._give_up(exchange, reply.reason.value)
+
+    def link_lost(self, node: NodeId) -> None:
+        """Treat all requests at a node that is out of reach as failed."""
+        lost = [one for one in self.attempts.values() if one.node == node]
+        for attempt in lost:
+            failure = Failed(attempt.attempt, Failure.LINK_LOST, BackendLoad())
+            self.failed(node, failure)
+
+    def load_reported(self, node: NodeId, load: BackendLoad) -> None:
+        """Take a load report."""
+        self._heard(node, load, self._now())
+
+    def _now(self) -> Seconds:
+        return Seconds(self.clock.seconds())
+
+    def _heard(self, node: NodeId, load: BackendLoad, now: Seconds) -> None:
+        self.book.reported(node, load, now)
+
+    def _place(self, exchange: Exchange, *, is_repeat: bool) -> None:
+        """Send the request to the best target that has not had it."""
+        now = self._now()
+        if exchange.refusals > self.settings.placement.redirects:
+            choice = self._last_resort(exchange, now)
+        else:
+            choice = self._choose(exchange, exchange.excluded, now)
+            choice = choice or self._last_resort(exchange, now)
+        if choice is None:
+            self._give_up(exchange, 'no-target')
+            return
+        self._send(exchange, choice, now, is_repeat=is_repeat)
+
+    def _choose(
+        self,
+        exchange: Exchange,
+        excluded: Any,
+        now: Seconds,
+    ) -> Choice | None:
+        return self.book.choose(
+            exchange.service,
+            exchange.route.home_regions,
+            excluded,
+            now,
+        )
+
+    def _last_resort(self, exchange: Exchange, now: Seconds) -> Choice | None:
+        """Wait in the queue of a target that was only busy or slow."""
+        if exchange.refusals > self.settings.placement.redirects + 1:
+            return None
+        soft = {Refusal.BUSY, Refusal.SLOW}
+        excluded = {
+            node
+            for node, reason in exchange.excluded.items()
+            if reason not in soft
+        }
+        if len(excluded) == len(exchange.excluded):
+            return None
+        choice = self._choose(exchange, excluded, now)
+        if choice is None:
+            return None
+        exchange.refusals = self.settings.placement.redirects + 1
+        return Choice(choice.candidate, choice.expected_s, 0, 'last-resort')
+
+    def _send(
+        self,
+        exchange: Exchange,
+        choice: Choice,
+        now: Seconds,
+        *,
+        is_repeat: bool,
+    ) -> None:
+        node = choice.candidate.peer.node
+        attempt = Attempt(
+            attempt=AttemptId(next(self._ids)),
+            exchange=exchange,
+            node=node,
+            sent_at=now,
+            is_repeat=is_repeat,
+        )
+        self.attempts[attempt.attempt] = attempt
+        exchange.attempts[attempt.attempt] = attempt
+        exchange.excluded[node] = None
+        choice.candidate.sent += 1
+        choice.candidate.in_flight += 1
+        self.on_decision(
+            'send',
+            exchange,
+            target=node,
+            why=choice.reason,
+            repeat=is_repeat,
+            expected_s=round(choice.expected_s, 4),
+            report_age_s=round(now - choice.candidate.load_at, 3),
+        )
+        self._watch(exchange, choice, now)
+        message = Forward(
+            attempt=attempt.attempt,
+            request_id=exchange.request_id,
+            route=exchange.route.route,
+            request=exchange.request,
+            remaining_s=max(0, exchange.expires_at - now),
+            aim_s=self._aim_left(exchange, now),
+            bound_s=choice.bound_s * BOUND_FACTOR,
+            rank=self._rank(exchange),
+            idempotent=exchange.route.idempotent,
+            repeat=is_repeat,
+        )
+        self.links.send(node, message)
+
+    def _aim_left(self, exchange: Exchange, now: Seconds) -> float:
+        aim_at = exchange.arrived_at + exchange.route.target_latency_s
+        return max(0, aim_at - now)
+
+    def _rank(self, exchange: Exchange) -> int:
+        if exchange.is_nested:
+            return NESTED_RANK
+        return NESTED_RANK + 1 + exchange.route.priority
+
+    def _watch(
+        self,
+        exchange: Exchange,
+        choice: Choice,
+        now: Seconds,
+    ) -> None:
+        """Look again when the answer is late."""
+        if not exchange.route.idempotent:
+            return
+        hedge = self.settings.hedge
+        late_s = max(hedge.least_s, hedge.expected_factor * choice.expected_s)
+        left_s = exchange.expires_at - now
+        if late_s + choice.expected_s * _HEDGE_SHARE < left_s:
+            timer = self.clock.callLater(late_s, self._hedge, exchange)
+            exchange.timers.append(timer)
+
+    def _hedge(self, exchange: Exchange) -> None:
+        if exchange.is_over or len(exchange.attempts) != 1:
+            return
+        now = self._now()
+        choice = self._choose(exchange, exchange.excluded, now)
+        if choice is None or choice.candidate.load.limit == 0:
+            return
+        exchange.reached.update(
+            attempt.node for attempt in exchange.attempts.values()
+        )
+        if self._may_repeat(exchange):
+            self._send(exchange, choice, now, is_repeat=True)
+
+    def _may_repeat(self, exchange: Exchange) -> bool:
+        """Tell whether another backend server may get the request."""
+        if len(exchange.reached) >= exchange.route.max_attempts:
+            return False
+        return self.repeats.take(exchange.service, self._now())
+
+    def _end(self, node: NodeId, attempt_id: AttemptId) -> Attempt | None:
+        """Forget an attempt; late and crossed replies find none."""
+        attempt = self.attempts.get(attempt_id)
+        if attempt is None or attempt.node != node:
+            return None
+        self._forget(attempt)
+        return attempt
+
+    def _forget(self, attempt: Attempt) -> None:
+        self.attempts.pop(attempt.attempt, None)
+        attempt.exchange.attempts.pop(attempt.attempt, None)
+        candidate = self.book.candidates.get(attempt.node)
+        if candidate is not None and candidate.in_flight:
+            candidate.in_flight -= 1
+
+    def _expire(self, exchange: Exchange) -> None:
+        """Answer at the deadline or the route's time limit."""
+        if exchange.is_over:
+            return
+        if exchange.attempts:
+            exchange.may_have_run = True
+            for attempt in exchange.attempts.values():
+                self.book.avoid(attempt.node, self._now())
+        self._give_up(exchange, 'timeout', HTTPStatus.GATEWAY_TIMEOUT)
+
+    def _give_up(
+        self,
+        exchange: Exchange,
+        reason: str,
+        unknown_status: int = HTTPStatus.BAD_GATEWAY,
+    ) -> None:
+        """Answer a request that is not served, truthfully and at once."""
+        if exchange.last_answer is not None:
+            self._respond(exchange, exchange.last_answer, reason)
+        elif exchange.may_have_run:
+            answer = HttpAnswer(unknown_status, is_own=True)
+            self._respond(exchange, answer, reason)
+        else:
+            answer = self.refusal(exchange.retry_after_s)
+            self._respond(exchange, answer, reason)
+
+    def refusal(self, retry_after_s: float) -> HttpAnswer:
+        """Build the answer to a request that has not run."""
+        wait_s = max(LEAST_RETRY_S, retry_after_s or NO_TARGET_RETRY_S)
+        wait_s *= 1 + _RETRY_SPREAD * self.random.random()
+        header = (b'Retry-After', b'%.3f' % wait_s)
+        return HttpAnswer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            (header,),
+            is_own=True,
+        )
+
+    def _respond(
+        self,
+        exchange: Exchange,
+        answer: HttpAnswer,
+        why: str,
+    ) -> None:
+        self.on_decision(
+            'answer',
+            exchange,
+            status=int(answer.status),
+            why=why,
+            took_s=round(self._now() - exchange.arrived_at, 4),
+        )
+        self.on_finished(exchange, int(answer.status))
+        self._close(exchange)
+        exchange.respond(answer)
+
+    def _close(self, exchange: Exchange) -> None:
+        exchange.is_over = True
+        self.exchanges.discard(exchange)
+        for timer in exchange.timers:
+            if timer.active():
+                timer.cancel()
+        exchange.timers.clear()
+        for attempt in tuple(exchange.attempts.values()):
+            self._forget(attempt)
+            self.links.send(attempt.node, Cancel(attempt.attempt))
+
+
+def _ignore(event: str, exchange: Exchange, **fields: object) -> None:
+    """Stand in for a log."""
+
+
+def _ignore_end(exchange: Exchange, status: int) -> None:
+    """Stand in for metrics."""
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -0,0 +1,181 @@
+"""Messages between nodes about forwarded requests.
+
+They are MessagePack arrays; fields may only be added at the end.
+"""
+
+from typing import Final
+
+import msgspec
+
+from bilberryrail.core.ids import AttemptId, AvailabilityZoneId
+from bilberryrail.forwarding.records import (
+    BackendLoad,
+    Failure,
+    HttpAnswer,
+    HttpRequest,
+    Peer,
+    Refusal,
+    RouteId,
+    TrafficConfig,
+)
+
+
+class Hello(msgspec.Struct, array_like=True, tag=0):
+    """First message in both directions of a link.
+
+    Attributes
+    ----------
+    known
+        Other nodes that the sender knows of.
+    """
+
+    peer: Peer
+    known: list[Peer]
+    offset: int
+
+
+class Announce(msgspec.Struct, array_like=True, tag=1):
+    """A node has changed."""
+
+    peer: Peer
+
+
+class Forward(msgspec.Struct, array_like=True, tag=2):
+    """Asks a target to run a request.
+
+    Attributes
+    ----------
+    request_id
+        Id of the client's attempt, for logs and for the backend server.
+    remaining_s
+        Time until nobody waits for the answer any more.
+    bound_s
+        Longest time to an answer that is better than the next choice; zero
+        if there is none, so that the request may wait.
+    rank
+        Urgency; the lowest goes first.
+    repeat
+        Whether the request may have reached another backend server before.
+    """
+
+    attempt: AttemptId
+    request_id: str
+    route: RouteId
+    request: HttpRequest
+    remaining_s: float
+    aim_s: float
+    bound_s: float
+    rank: int
+    idempotent: bool
+    repeat: bool
+
+
+class Cancel(msgspec.Struct, array_like=True, tag=3):
+    """Gives up a request."""
+
+    attempt: AttemptId
+
+
+class Answered(msgspec.Struct, array_like=True, tag=4):
+    """The backend server's whole answer."""
+
+    attempt: AttemptId
+    answer: HttpAnswer
+    load: BackendLoad
+
+
+class Refused(msgspec.Struct, array_like=True, tag=5):
+    """The request has not run and will not run."""
+
+    attempt: AttemptId
+    reason: Refusal
+    retry_after_s: float
+    load: BackendLoad
+
+
+class Failed(msgspec.Struct, array_like=True, tag=6):
+    """The request may have run and has no answer."""
+
+    attempt: AttemptId
+    reason: Failure
+    load: BackendLoad
+
+
+class Load(msgspec.Struct, array_like=True, tag=7):
+    """The load of the sender's backend server has changed."""
+
+    load: BackendLoad
+
+
+class Ping(msgspec.Struct, array_like=True, tag=8):
+    """Asks for a sign of life."""
+
+
+class Pong(msgspec.Struct, array_like=True, tag=9):
+    """Answers a ping."""
+
+    load: BackendLoad
+
+
+class OperatorOffset(msgspec.Struct, array_like=True, tag=10):
+    """Up to which offset the sender has read the operators' records."""
+
+    offset: int
+
+
+class OperatorSnapshot(msgspec.Struct, array_like=True, tag=11):
+    """All that the operators want, up to an offset."""
+
+    offset: int
+    config: TrafficConfig | None
+    zones_out: tuple[AvailabilityZoneId, ...]
+
+
+Message = (
+    Hello
+    | Announce
+    | Forward
+    | Cancel
+    | Answered
+    | Refused
+    | Failed
+    | Load
+    | Ping
+    | Pong
+    | OperatorOffset
+    | OperatorSnapshot
+)
+
+_ENCODER: Final = msgspec.msgpack.Encoder()
+_DECODER: Final = msgspec.msgpack.Decoder(Message)
+_PEER_DECODER: Final = msgspec.msgpack.Decoder(Peer)
+
+
+class MessageError(Exception):
+    """Bytes from a peer or the store that are no message."""
+
+
+def encode(message: Message) -> bytes:
+    """Encode a message."""
+    return _ENCODER.encode(message)
+
+
+def decode(payload: bytes) -> Message:
+    """Decode a message; raises ``MessageError``."""
+    try:
+        return _DECODER.decode(payload)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise MessageError(str(error)) from error
+
+
+def encode_peer(peer: Peer) -> bytes:
+    """Encode a node's announcement for the store."""
+    return _ENCODER.encode(peer)
+
+
+def decode_peer(payload: bytes) -> Peer:
+    """Decode a node's announcement; raises ``MessageError``."""
+    try:
+        return _PEER_DECODER.decode(payload)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise MessageError(str(error)) from error
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -0,0 +1,249 @@
+"""Routes, services and members that requests are forwarded by."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NewType
+
+from bilberryrail.core.ids import (
+    AvailabilityZoneId,
+    Incarnation,
+    NodeId,
+    RegionId,
+    ServiceId,
+)
+
+RouteId = NewType('RouteId', str)
+
+#: Identifies one run of a backend server.
+InstanceId = NewType('InstanceId', str)
+
+#: Version of a traffic configuration; it only grows.
+ConfigVersion = NewType('ConfigVersion', int)
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """A service that takes a share of a route's requests."""
+
+    service: ServiceId
+    weight: float = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Requests that are forwarded alike.
+
+    Attributes
+    ----------
+    prefix
+        Path prefix; it begins and ends with a slash.
+    parts
+        Services that share the requests by weight; one if it is not split.
+    timeout_s
+        Longest time that a request is kept waiting.
+    target_latency_s
+        Time within which an answer is worth most to its caller.
+    priority
+        Rank; 0 is the most urgent.
+    max_attempts
+        Backend servers that one request may be sent to.
+    home_regions
+        Regions that may serve it; empty allows every region.
+    """
+
+    route: RouteId
+    host: str
+    prefix: str
+    idempotent: bool
+    parts: tuple[Part, ...]
+    timeout_s: float
+    target_latency_s: float
+    priority: int = 0
+    max_attempts: int = 1
+    home_regions: tuple[RegionId, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRules:
+    """What the backend servers of a service bear.
+
+    Attributes
+    ----------
+    health_path
+        Path of the health check.
+    cold_period_s
+        Time after a start in which a backend server is cold.
+    cold_requests_per_s
+        Requests a second that a cold backend server bears.
+    """
+
+    service: ServiceId
+    health_path: str
+    max_connections: int
+    cold_period_s: float
+    cold_requests_per_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """Bounds on what a client may send and how long it may take."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 67108864
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficConfig:
+    """One whole version of the operators' traffic configuration."""
+
+    version: ConfigVersion
+    routes: tuple[Route, ...]
+    services: Mapping[ServiceId, ServiceRules]
+    limits: ClientLimits = field(default_factory=ClientLimits)
+
+
+class BackendPhase(Enum):
+    """State of a backend server as its node sees it."""
+
+    ABSENT = 'absent'
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A node, as it announces itself to the others.
+
+    Attributes
+    ----------
+    started_ms
+        Unix time of the node's start, in milliseconds; orders incarnations.
+    serial
+        Grows with each change within an incarnation.
+    instance
+        Backend server beside the node; empty if there is none.
+    """
+
+    node: NodeId
+    incarnation: Incarnation
+    started_ms: int
+    serial: int
+    host: str
+    port: int
+    zone: AvailabilityZoneId
+    region: RegionId
+    service: ServiceId
+    instance: InstanceId
+    phase: BackendPhase
+    leaving: bool = False
+
+    def is_newer_than(self, other: 'Peer') -> bool:
+        """Tell whether this announcement replaces another of the node."""
+        mine = (self.started_ms, self.incarnation, self.serial)
+        return mine > (other.started_ms, other.incarnation, other.serial)
+
+
+@dataclass(frozen=True, slots=True)
+class BackendLoad:
+    """Load of a target, for the choice among targets.
+
+    Attributes
+    ----------
+    running, waiting
+        Requests at the backend server, and in the target's queue.
+    limit
+        Requests that the target lets run at the same time.
+    slowdown
+        Duration of work now, as a multiple of the usual one.
+    service_s
+        Usual time to an answer, in seconds.
+    error_share
+        Share of recent requests that failed, from 0 to 1.
+    """
+
+    running: int = 0
+    waiting: int = 0
+    limit: int = 0
+    slowdown: float = 1.0
+    service_s: float = 0.0
+    error_share: float = 0.0
+
+
+class Refusal(Enum):
+    """Why a target did not run a request."""
+
+    BUSY = 'busy'
+    SLOW = 'slow'
+    COLD = 'cold'
+    NO_BACKEND = 'no-backend'
+    DRAINING = 'draining'
+    ZONE_OUT = 'zone-out'
+    DEADLINE = 'deadline'
+    SHED = 'shed'
+    OTHER_INSTANCE = 'other-instance'
+    CONNECT_FAILED = 'connect-failed'
+    LINK_DOWN = 'link-down'
+    CANCELLED = 'cancelled'
+
+
+#: Refusals by the backend server itself: the request reached it and counts as
+#: an attempt.
+REACHED_BACKEND = frozenset((Refusal.SHED, Refusal.OTHER_INSTANCE))
+
+
+class Failure(Enum):
+    """Why a request that may have run has no answer."""
+
+    LINK_LOST = 'link-lost'
+    RESET = 'reset'
+    MALFORMED = 'malformed'
+    UNSEALED = 'unsealed'
+    TIMEOUT = 'timeout'
+
+
+Header = tuple[bytes, bytes]
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request; headers of the connection are left out."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; ``name`` is in lower case."""
+        return find_header(self.headers, name)
+
+
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A whole answer; headers of the connection are left out.
+
+    Attributes
+    ----------
+    is_own
+        Whether a node made it up, instead of a backend server.
+    """
+
+    status: int
+    headers: tuple[Header, ...] = ()
+    body: bytes = b''
+    is_own: bool = False
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; ``name`` is in lower case."""
+        return find_header(self.headers, name)
+
+
+def find_header(headers: tuple[Header, ...], name: bytes) -> bytes | None:
+    """Return the first value of a header; ``name`` is in lower case."""
+    for key, text in headers:
+        if key.lower() == name:
+            return text
+    return None
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/routes.py
@@ -0,0 +1,66 @@
+"""Finds the route of a request and the service that takes it."""
+
+from random import Random
+
+from bilberryrail.core.ids import ServiceId
+from bilberryrail.forwarding.records import Route, RouteId, TrafficConfig
+
+
+class RouteTable:
+    """Routes of one configuration by host, the longest prefix first."""
+
+    def __init__(self, config: TrafficConfig) -> None:
+        self.config = config
+        self.by_host: dict[str, list[Route]] = {}
+        for route in config.routes:
+            self.by_host.setdefault(route.host, []).append(route)
+        for routes in self.by_host.values():
+            routes.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        name = host.lower()
+        routes = self.by_host.get(name)
+        if routes is None:
+            routes = self.by_host.get(name.rpartition(':')[0], ())
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+class SplitChooser:
+    """Shares the requests of split routes by weight.
+
+    Smooth weighted round-robin: any run of requests is shared within one
+    request of the weights, so short windows keep the proportions too.
+
+    Parameters
+    ----------
+    random
+        Draws where the rotation of a route starts, so that the nodes do not
+        all begin with the same service.
+    """
+
+    def __init__(self, random: Random) -> None:
+        self.random = random
+        self.credits: dict[RouteId, dict[ServiceId, float]] = {}
+
+    def choose(self, route: Route) -> ServiceId:
+        """Return the service that takes the next request."""
+        if len(route.parts) == 1:
+            return route.parts[0].service
+        weights = {part.service: part.weight for part in route.parts}
+        total = sum(weights.values())
+        credit = self.credits.get(route.route)
+        if credit is None or credit.keys() != weights.keys():
+            credit = {
+                service: self.random.random() * weight
+                for service, weight in weights.items()
+            }
+            self.credits[route.route] = credit
+        for service, weight in weights.items():
+            credit[service] += weight
+        chosen = max(weights, key=credit.__getitem__)
+        credit[chosen] -= total
+        return chosen
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -0,0 +1,314 @@
+"""Target role: the only way to the backend server beside a node."""
+
+import itertools
+import math
+from collections.abc import Callable
+from typing import Any, Final, Protocol
+
+from bilberryrail.core.ids import AttemptId, NodeId, Seconds
+from bilberryrail.forwarding.backend import Backend
+from bilberryrail.forwarding.messages import (
+    Answered,
+    Failed,
+    Forward,
+    Refused,
+)
+from bilberryrail.forwarding.records import (
+    BackendLoad,
+    Failure,
+    HttpAnswer,
+    InstanceId,
+    Refusal,
+)
+from bilberryrail.forwarding.settings import ForwardingSettings
+from bilberryrail.forwarding.work_queue import Origin, Work, WorkQueue
+
+#: Retry time for refusals whose cause has no known end, in seconds.
+UNKNOWN_WAIT_S: Final = 0.25
+
+#: Part of the usual duration that must be left for a request to be sent.
+_LEAST_SHARE_LEFT: Final = 0.5
+
+#: Most requests kept in the queue for a limit, whatever the limit is.
+_LEAST_QUEUE: Final = 4
+
+#: Interval at which a queue is looked at that waits for something other than
+#: a request's end, in seconds.
+_QUEUE_CHECK_S: Final = 0.05
+
+Reply = Answered | Refused | Failed
+
+
+class TargetPort(Protocol):
+    """What the target role asks its shell to do."""
+
+    def dispatch(self, work: Work, instance: InstanceId) -> None:
+        """Send a request to the backend server."""
+
+    def abort(self, work: Work) -> None:
+        """Close the connection on which a request runs."""
+
+    def reply(self, node: NodeId, reply: Reply) -> None:
+        """Send an outcome to the node that asked."""
+
+
+class Target:
+    """Admits, queues or refuses requests for the backend server.
+
+    Only the target says that a request has not run, since it is the only one
+    to know what it has sent.
+
+    Parameters
+    ----------
+    clock
+        Runtime's clock.
+
+    Attributes
+    ----------
+    zone_out
+        Whether operators have taken this node's availability zone out.
+    leaving
+        Whether this node shuts down.
+    """
+
+    def __init__(
+        self,
+        settings: ForwardingSettings,
+        clock: Any,
+        backend: Backend,
+        port: TargetPort,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.backend = backend
+        self.port = port
+        self.queue = WorkQueue()
+        self.zone_out = False
+        self.leaving = False
+        self.by_origin: dict[Origin, Work] = {}
+        self.by_number: dict[int, Work] = {}
+        self.on_decision: Callable[..., None] = _ignore
+        self._numbers = itertools.count(1)
+        self._check: Any = None
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing runs or waits."""
+        return not self.by_origin
+
+    def load(self) -> BackendLoad:
+        """Return the load, for other nodes."""
+        load = self.backend.load(self._now(), len(self.queue))
+        if self.zone_out or self.leaving:
+            return BackendLoad(service_s=load.service_s)
+        return load
+
+    def offer(self, node: NodeId, message: Forward) -> None:
+        """Take a request from an ingress node."""
+        now = self._now()
+        origin = Origin(node, message.attempt)
+        if origin in self.by_origin:
+            return
+        work = Work(
+            number=next(self._numbers),
+            origin=origin,
+            message=message,
+            arrived_at=now,
+            expires_at=Seconds(now + message.remaining_s),
+        )
+        reason = self._unavailable(now)
+        if reason is not None:
+            self._refuse(work, reason, UNKNOWN_WAIT_S)
+            return
+        self.by_origin[origin] = work
+        if not len(self.queue) and self._has_room(now):
+            self._send_unless_slow(work, now)
+        else:
+            self._wait(work, now)
+
+    def cancel(self, node: NodeId, attempt: AttemptId) -> None:
+        """Give up a request that nobody waits for."""
+        work = self.by_origin.get(Origin(node, attempt))
+        if work is not None:
+            self._drop(work)
+            self._pump()
+
+    def peer_lost(self, node: NodeId) -> None:
+        """Give up the requests of a node that is out of reach."""
+        for work in tuple(self.by_origin.values()):
+            if work.origin.node == node:
+                self._drop(work)
+        self._pump()
+
+    def answered(self, work: Work, answer: HttpAnswer) -> None:
+        """Pass on the backend server's whole answer."""
+        now = self._now()
+        if answer.status < 500:
+            self.backend.answered(work.number, now)
+        else:
+            self.backend.failed(now)
+        self._end(work)
+        reply = Answered(work.origin.attempt, answer, self.load())
+        self.port.reply(work.origin.node, reply)
+        self._pump()
+
+    def failed(self, work: Work, reason: Failure) -> None:
+        """Report a request that may have run and has no answer."""
+        self.backend.failed(self._now())
+        self._end(work)
+        self.on_decision('failed', work, reason=reason.value)
+        reply = Failed(work.origin.attempt, reason, self.load())
+        self.port.reply(work.origin.node, reply)
+        self._pump()
+
+    def not_run(self, work: Work, reason: Refusal) -> None:
+        """Report a request that the backend server did not run."""
+        if reason is Refusal.CONNECT_FAILED:
+            self.backend.connect_failed()
+        elif reason is Refusal.SHED:
+            self.backend.failed(self._now())
+        self._end(work)
+        self._refuse(work, reason, UNKNOWN_WAIT_S)
+        self._pump()
+
+    def changed(self) -> None:
+        """Look at the queue after the backend server's state has changed."""
+        self._pump()
+
+    def _now(self) -> Seconds:
+        return Seconds(self.clock.seconds())
+
+    def _unavailable(self, now: Seconds) -> Refusal | None:
+        if self.leaving:
+            return Refusal.DRAINING
+        if self.zone_out:
+            return Refusal.ZONE_OUT
+        if self.backend.rules is None or not self.backend.is_usable(now):
+            return Refusal.NO_BACKEND
+        return None
+
+    def _has_room(self, now: Seconds) -> bool:
+        backend = self.backend
+        if backend.occupancy(now) >= backend.limit():
+            return False
+        most_per_s = backend.cold_limit(now)
+        return math.isinf(most_per_s) or backend.cold.room(most_per_s, now)
+
+    def _send_unless_slow(self, work: Work, now: Seconds) -> None:
+        bound_s = work.message.bound_s
+        if bound_s and self.backend.expected_s(now) > bound_s:
+            self._refuse(work, Refusal.SLOW, 0)
+        else:
+            self._send(work, now)
+
+    def _wait(self, work: Work, now: Seconds) -> None:
+        """Queue a request if it is likely to be served in time."""
+        wait_s = self._expected_wait_s(work.message.rank, now)
+        busy_s = self.backend.expected_s(now)
+        bound_s = work.message.bound_s
+        if bound_s and wait_s + busy_s > bound_s:
+            self._refuse(work, Refusal.BUSY, wait_s)
+            return
+        most = max(
+            _LEAST_QUEUE,
+            self.backend.limit() * self.settings.admission.queue_per_slot,
+        )
+        is_hopeless = now + wait_s + busy_s > work.expires_at
+        if is_hopeless or len(self.queue) >= most:
+            self._refuse(work, Refusal.BUSY, wait_s)
+            return
+        self.queue.push(work)
+        self.on_decision('queue', work, wait_s=round(wait_s, 4))
+        self._schedule_check()
+
+    def _expected_wait_s(self, rank: int, now: Seconds) -> float:
+        backend = self.backend
+        limit = backend.limit()
+        ahead = self.queue.ahead_of(rank) + backend.occupancy(now) + 1 - limit
+        wait_s = max(0, ahead) / limit * backend.expected_s(now)
+        most_per_s = backend.cold_limit(now)
+        if not math.isinf(most_per_s):
+            room_at = backend.cold.room_at(most_per_s, now)
+            wait_s = max(wait_s, room_at - now)
+        return wait_s
+
+    def _pump(self) -> None:
+        """Send what has room, and refuse what came too late."""
+        now = self._now()
+        reason = self._unavailable(now)
+        if reason is not None:
+            for work in tuple(self.queue):
+                self.queue.cancel(work)
+                self._refuse(work, reason, UNKNOWN_WAIT_S)
+            return
+        work = self.queue.peek()
+        while work is not None:
+            least_s = self.backend.expected_s(now) * _LEAST_SHARE_LEFT
+            if now + least_s > work.expires_at:
+                self.queue.pop()
+                self._refuse(work, Refusal.DEADLINE, UNKNOWN_WAIT_S)
+            elif self._has_room(now):
+                self.queue.pop()
+                self._send(work, now)
+            else:
+                self._schedule_check()
+                return
+            work = self.queue.peek()
+
+    def _send(self, work: Work, now: Seconds) -> None:
+        instance = self.backend.instance
+        if instance is None:
+            self._refuse(work, Refusal.NO_BACKEND, UNKNOWN_WAIT_S)
+            return
+        self.by_number[work.number] = work
+        self.backend.started(work.number, now)
+        self.on_decision(
+            'dispatch',
+            work,
+            instance=instance,
+            waited_s=round(now - work.arrived_at, 4),
+            running=len(self.backend.running),
+            limit=self.backend.limit(),
+        )
+        self.port.dispatch(work, instance)
+
+    def _drop(self, work: Work) -> None:
+        if work.number in self.by_number:
+            self._end(work)
+            self.port.abort(work)
+        else:
+            self.queue.cancel(work)
+            self.by_origin.pop(work.origin, None)
+
+    def _end(self, work: Work) -> None:
+        self.by_number.pop(work.number, None)
+        self.by_origin.pop(work.origin, None)
+        self.backend.ended(work.number)
+
+    def _refuse(
+        self,
+        work: Work,
+        reason: Refusal,
+        retry_after_s: float,
+    ) -> None:
+        self.by_origin.pop(work.origin, None)
+        self.on_decision('refuse', work, reason=reason.value)
+        reply = Refused(
+            work.origin.attempt,
+            reason,
+            retry_after_s,
+            self.load(),
+        )
+        self.port.reply(work.origin.node, reply)
+
+    def _schedule_check(self) -> None:
+        if self._check is None:
+            self._check = self.clock.callLater(_QUEUE_CHECK_S, self._checked)
+
+    def _checked(self) -> None:
+        self._check = None
+        self._pump()
+
+
+def _ignore(event: str, work: Work, **fields: object) -> None:
+    """Stand in for a log."""
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Process that forwards HTTP requests between nodes and backend servers."""
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/answer_reader.py
@@ -0,0 +1,144 @@
+"""Reads answers from a connection on which requests were sent."""
+
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from typing import Final
+
+import httptools
+
+from bilberryrail.forwarding.records import Header
+from bilberryrail.gateway.http_text import end_to_end
+
+#: Largest head that is read; a usual bound of HTTP clients.
+MOST_HEAD_BYTES: Final = 65536
+
+_LENGTHS: Final = frozenset((b'content-length', b'transfer-encoding'))
+
+
+class AnswerError(Exception):
+    """Bytes that are no answer, or too many of them."""
+
+
+@dataclass(slots=True)
+class RawAnswer:
+    """An answer as it was read.
+
+    Attributes
+    ----------
+    headers
+        All headers, those of the connection included.
+    has_length
+        Whether the head says where the body ends; otherwise it ends with the
+        connection.
+    """
+
+    status: int = 0
+    headers: list[Header] = field(default_factory=list)
+    chunks: list[bytes] = field(default_factory=list)
+    has_head: bool = False
+    has_length: bool = False
+    keeps_alive: bool = False
+
+    @property
+    def body(self) -> bytes:
+        """The whole body."""
+        return b''.join(self.chunks)
+
+    @property
+    def end_to_end(self) -> tuple[Header, ...]:
+        """Headers without those that concern the connection."""
+        return end_to_end(self.headers)
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the first value of a header; ``name`` is in lower case."""
+        for key, text in self.headers:
+            if key.lower() == name:
+                return text
+        return None
+
+
+class AnswerReader:
+    """Parses answers with ``httptools``; the ``on_`` methods are its callbacks.
+
+    Parameters
+    ----------
+    without_body
+        Whether the answer is to a HEAD request.
+
+    Attributes
+    ----------
+    whole
+        Answers whose end has been read, oldest first.
+    """
+
+    def __init__(self, most_bytes: int, *, without_body: bool = False) -> None:
+        self.most_bytes = most_bytes
+        self.without_body = without_body
+        self.parser = httptools.HttpResponseParser(self)
+        self.whole: list[RawAnswer] = []
+        self.current: RawAnswer | None = None
+        self.size = 0
+        self.has_started = False
+
+    def feed(self, received: bytes) -> None:
+        """Parse bytes; raises ``AnswerError`` if they are no answer."""
+        self.has_started = True
+        try:
+            self.parser.feed_data(received)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            raise AnswerError(f'{type(error).__name__}: {error}') from error
+        self.size += len(received)
+        if self.size > self.most_bytes + MOST_HEAD_BYTES:
+            raise AnswerError(f'answer exceeds {self.most_bytes} bytes')
+
+    def end_of_connection(self) -> RawAnswer | None:
+        """Return an answer that ends with its connection, if there is one."""
+        current = self.current
+        if current is None or not current.has_head or current.has_length:
+            return None
+        self.current = None
+        return current
+
+    def on_message_begin(self) -> None:
+        """Start an answer."""
+        self.current = RawAnswer()
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Keep a header; those after the body are dropped."""
+        if self.current is not None and not self.current.has_head:
+            self.current.headers.append((name, text))
+
+    def on_headers_complete(self) -> None:
+        """Note what the head says."""
+        current = self.current
+        if current is None:
+            return
+        current.status = self.parser.get_status_code()
+        current.has_head = True
+        current.has_length = any(
+            name.lower() in _LENGTHS for name, _ in current.headers
+        )
+        current.keeps_alive = self.parser.should_keep_alive()
+        if self.without_body and current.status >= HTTPStatus.OK:
+            current.keeps_alive = False
+            self._finish()
+
+    def on_body(self, chunk: bytes) -> None:
+        """Keep a part of the body."""
+        if self.current is not None:
+            self.current.chunks.append(chunk)
+
+    def on_message_complete(self) -> None:
+        """Note the end, unless it is that of an interim answer."""
+        if self.current is not None and self.current.status < HTTPStatus.OK:
+            self.current = None
+            return
+        self._finish()
+
+    def _finish(self) -> None:
+        if self.current is not None:
+            self.whole.append(self.current)
+            self.current = None
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -0,0 +1,176 @@
+"""Follows the store: what operators want, and which nodes there are."""
+
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any, Final
+
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.task import deferLater
+
+from bilberryrail.forwarding.membership import Membership
+from bilberryrail.forwarding.operators import OperatorState
+from bilberryrail.gateway.metrics import Metrics
+from bilberryrail.gateway.store import Store, StoreError, TrimmedError
+
+#: Longest wait for new records in one call. Calls are paid for, so it is
+#: long; keep-alive probes notice a silent connection much sooner.
+POLL_WAIT_S: Final = 12.0
+
+#: Pause after a call that failed.
+RETRY_S: Final = 0.25
+
+#: Interval at which the list of nodes is read. Nodes announce themselves over
+#: links, so it only finds nodes that no link has reached.
+MEMBERS_INTERVAL_S: Final = 15.0
+
+#: Pause before a failed announcement is tried again.
+ANNOUNCE_RETRY_S: Final = 0.5
+
+#: Width of the random factor of all pauses.
+_SPREAD: Final = 0.5
+
+
+class StoreFollower:
+    """Keeps the state of operators and nodes up to date from the store.
+
+    Attributes
+    ----------
+    heard_at
+        When the store last answered a call about operators.
+    is_reachable
+        Whether the newest call was answered.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        random: Random,
+        store: Store,
+        operators: OperatorState,
+        membership: Membership,
+        metrics: Metrics,
+        log: Callable[..., None],
+    ) -> None:
+        self.reactor = reactor
+        self.random = random
+        self.store = store
+        self.operators = operators
+        self.membership = membership
+        self.metrics = metrics
+        self.log = log
+        self.heard_at = -1.0
+        self.is_reachable = True
+        self.is_stopped = False
+        self.on_operators: Callable[[], None] = _ignore
+        self.on_peers: Callable[[list[Any]], None] = _ignore
+        self._announcing = False
+
+    def start(self) -> None:
+        """Announce this node, then follow operators and nodes."""
+        self._run(self._follow_operators())
+        self._run(self._follow_members())
+
+    def stop(self) -> None:
+        """Start no new calls."""
+        self.is_stopped = True
+
+    def announce(self) -> 'Deferred[bool]':
+        """Store this node's newest announcement.
+
+        Fires when it is kept, with false if a later one took its place.
+        """
+        return ensureDeferred(self._announce())
+
+    async def _announce(self) -> bool:
+        peer = self.membership.own
+        while peer is self.membership.own and not self.is_stopped:
+            try:
+                await self.store.announce(peer)
+            except StoreError as error:
+                self._failed('announce', error)
+                await self._pause(ANNOUNCE_RETRY_S)
+            else:
+                self._answered('announce')
+                return True
+        return False
+
+    async def _follow_operators(self) -> None:
+        has_state = False
+        while not self.is_stopped:
+            try:
+                if has_state:
+                    await self._read_records()
+                else:
+                    await self._read_state()
+                    has_state = True
+            except TrimmedError:
+                self.log('operator_records_trimmed')
+                has_state = False
+            except StoreError as error:
+                self._failed('operators', error)
+                await self._pause(RETRY_S)
+
+    async def _read_state(self) -> None:
+        snapshot = await self.store.operator_state()
+        self._answered('operator-state')
+        self._heard()
+        if self.operators.replace(snapshot):
+            self.on_operators()
+
+    async def _read_records(self) -> None:
+        found = await self.store.operator_records(
+            self.operators.next_offset,
+            POLL_WAIT_S,
+        )
+        self._answered('operator-records')
+        self._heard()
+        changed = [self.operators.apply(record) for record in found.records]
+        if any(changed):
+            self.on_operators()
+
+    async def _follow_members(self) -> None:
+        # Writing before reading lets one of two nodes that start together see
+        # the other one.
+        await self._announce()
+        while not self.is_stopped:
+            try:
+                peers = await self.store.announcements()
+            except StoreError as error:
+                self._failed('announcements', error)
+                await self._pause(ANNOUNCE_RETRY_S)
+                continue
+            self._answered('announcements')
+            self.on_peers(list(peers))
+            await self._pause(MEMBERS_INTERVAL_S)
+
+    def _heard(self) -> None:
+        self.heard_at = self.reactor.seconds()
+
+    def _answered(self, kind: str) -> None:
+        self.metrics.called_store(kind, 'answered')
+        if not self.is_reachable:
+            self.is_reachable = True
+            self.log('store_regained', call=kind)
+
+    def _failed(self, kind: str, error: StoreError) -> None:
+        self.metrics.called_store(kind, 'failed')
+        if self.is_reachable:
+            self.is_reachable = False
+            self.log('store_lost', call=kind, reason=str(error))
+
+    def _pause(self, pause_s: float) -> 'Deferred[None]':
+        spread = 1 + _SPREAD * (self.random.random() - 1 / 2)
+        return deferLater(self.reactor, pause_s * spread)
+
+    def _run(self, task: Coroutine[Any, Any, None]) -> None:
+        running = ensureDeferred(task)
+        running.addErrback(
+            lambda failure: self.log(
+                'task_failed',
+                reason=failure.getTraceback(),
+            ),
+        )
+
+
+def _ignore(*_: Any) -> None:
+    """Stand in for a listener."""
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/http_channel.py
@@ -0,0 +1,193 @@
+"""HTTP client that sends one request at a time over one connection."""
+
+from typing import Any, Final
+
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import ClientFactory, Protocol
+
+from bilberryrail.forwarding.records import Header
+from bilberryrail.gateway import sockets
+from bilberryrail.gateway.answer_reader import (
+    AnswerError,
+    AnswerReader,
+    RawAnswer,
+)
+from bilberryrail.gateway.http_text import request_bytes
+
+#: Largest answer that is read.
+MOST_ANSWER_BYTES: Final = 16_777_216
+
+
+class ChannelError(Exception):
+    """A request without a whole answer; it may have taken effect."""
+
+
+class ChannelConnection(Protocol):
+    """Connection of a channel.
+
+    Attributes
+    ----------
+    waiting
+        Fires with the answer to the request in flight.
+    """
+
+    def __init__(self, channel: 'HttpChannel') -> None:
+        self.channel = channel
+        self.waiting: Deferred[RawAnswer] | None = None
+        self.reader = AnswerReader(MOST_ANSWER_BYTES)
+        self.payload = b''
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Write the request that the connection was opened for."""
+        sockets.watch_connection(self.transport)
+        if self.waiting is None:
+            self.transport.abortConnection()
+        else:
+            self.transport.write(self.payload)
+
+    def ask(self, payload: bytes) -> 'Deferred[RawAnswer]':
+        """Send a request, at once or when the connection is open."""
+        self.payload = payload
+        self.waiting = Deferred(self._cancelled)
+        self.reader = AnswerReader(MOST_ANSWER_BYTES)
+        if self.transport is not None:
+            self.transport.write(payload)
+        return self.waiting
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read the answer."""
+        if self.waiting is None:
+            self.transport.abortConnection()
+            return
+        try:
+            self.reader.feed(data)
+        except AnswerError as error:
+            self.fail(str(error))
+            return
+        if self.reader.whole:
+            raw = self.reader.whole[0]
+            if not raw.keeps_alive:
+                self.channel.lost(self)
+                self.transport.loseConnection()
+            self._finish(raw)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Fail the request in flight, or end an answer without a length."""
+        self.channel.lost(self)
+        raw = self.reader.end_of_connection()
+        if raw is not None and reason.check(ConnectionDone):
+            self._finish(raw)
+        else:
+            self.fail(reason.getErrorMessage())
+
+    def fail(self, reason: str) -> None:
+        """Fail the request in flight and close the connection."""
+        waiting, self.waiting = self.waiting, None
+        self.channel.lost(self)
+        if self.transport is not None:
+            self.transport.abortConnection()
+        if waiting is not None:
+            waiting.errback(ChannelError(reason))
+
+    def _finish(self, raw: RawAnswer) -> None:
+        waiting, self.waiting = self.waiting, None
+        if waiting is not None:
+            waiting.callback(raw)
+
+    def _cancelled(self, _: Any) -> None:
+        self.waiting = None
+        self.channel.lost(self)
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+
+class _Factory(ClientFactory):
+    """Opens the connection of a channel."""
+
+    noisy = False
+
+    def __init__(self, connection: ChannelConnection) -> None:
+        self.connection = connection
+
+    def buildProtocol(self, addr: Any) -> ChannelConnection:  # noqa: N802
+        """Return the connection."""
+        return self.connection
+
+    def clientConnectionFailed(  # noqa: N802
+        self,
+        connector: Any,
+        reason: Any,
+    ) -> None:
+        """Fail the request in flight."""
+        self.connection.fail(reason.getErrorMessage())
+
+
+class HttpChannel:
+    """Keeps a connection to one address and opens a new one when needed."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        host: str,
+        port: int,
+        connect_timeout_s: float,
+    ) -> None:
+        self.reactor = reactor
+        self.host = host
+        self.port = port
+        self.connect_timeout_s = connect_timeout_s
+        self.connection: ChannelConnection | None = None
+
+    async def ask(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: tuple[Header, ...],
+        body: bytes,
+        timeout_s: float,
+    ) -> RawAnswer:
+        """Send a request and wait for its answer.
+
+        Raises ``ChannelError`` if there is no whole answer in time.
+        """
+        host = b'%b:%d' % (self.host.encode(), self.port)
+        payload = request_bytes(
+            method,
+            target,
+            ((b'Host', host), *headers),
+            body,
+        )
+        connection = self.connection or self._open()
+        waiting = connection.ask(payload)
+        timer = self.reactor.callLater(
+            timeout_s,
+            connection.fail,
+            f'no answer within {timeout_s} s',
+        )
+        try:
+            return await waiting
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def lost(self, connection: ChannelConnection) -> None:
+        """Forget a connection that has ended."""
+        if self.connection is connection:
+            self.connection = None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.connection is not None:
+            self.connection.fail('closed')
+
+    def _open(self) -> ChannelConnection:
+        connection = ChannelConnection(self)
+        self.connection = connection
+        self.reactor.connectTCP(
+            self.host,
+            self.port,
+            _Factory(connection),
+            timeout=self.connect_timeout_s,
+        )
+        return connection
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -0,0 +1,301 @@
+"""HTTP/1.1 server with keep-alive and pipelining."""
+
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Any, Final, Protocol as Interface
+
+import httptools
+from twisted.internet.protocol import Factory, Protocol
+
+from bilberryrail.forwarding.records import (
+    ClientLimits,
+    Header,
+    HttpAnswer,
+    HttpRequest,
+)
+from bilberryrail.gateway import sockets
+from bilberryrail.gateway.http_text import answer_bytes, end_to_end
+
+#: Requests of one connection that are served at the same time; more wait
+#: unread.
+MOST_PIPELINED: Final = 64
+
+#: Time for which a closing connection waits for the client to close too, so
+#: that unread bytes do not reset it before the client has the last answer.
+LINGER_S: Final = 1.0
+
+#: Interval at which idle connections are looked at.
+IDLE_CHECK_S: Final = 1.0
+
+_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+Respond = Callable[[HttpAnswer], None]
+Abandon = Callable[[], None]
+
+
+class Handler(Interface):
+    """Serves requests."""
+
+    def serve(
+        self,
+        request: HttpRequest,
+        client: str,
+        respond: Respond,
+    ) -> Abandon | None:
+        """Start to serve; the returned function is called if the client goes.
+
+        ``client`` is the client's IP address.
+        """
+
+
+class Slot:
+    """Place of one answer in the order of a connection's requests."""
+
+    def __init__(self, *, is_head: bool, closes: bool) -> None:
+        self.is_head = is_head
+        self.closes = closes
+        self.answer: HttpAnswer | None = None
+        self.abandon: Abandon | None = None
+
+
+class ServerConnection(Protocol):
+    """One client's connection; the ``on_`` methods are parser callbacks.
+
+    Attributes
+    ----------
+    slots
+        Requests without a written answer, in order.
+    is_ending
+        Whether nothing more is read.
+    """
+
+    def __init__(self, server: 'HttpServer') -> None:
+        self.server = server
+        self.parser = httptools.HttpRequestParser(self)
+        self.slots: deque[Slot] = deque()
+        self.target = b''
+        self.headers: list[Header] = []
+        self.chunks: list[bytes] = []
+        self.body_size = 0
+        self.head_size = 0
+        self.has_head = False
+        self.is_reading = False
+        self.is_ending = False
+        self.is_lost = False
+        self.is_paused = False
+        self.active_at = 0.0
+        self.host = ''
+        self.linger: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Register the connection."""
+        sockets.watch_connection(self.transport)
+        self.host = self.transport.getPeer().host
+        self.active_at = self.server.reactor.seconds()
+        self.server.connections.add(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse requests."""
+        if self.is_ending:
+            return
+        if not self.is_reading:
+            self.active_at = self.server.reactor.seconds()
+            self.is_reading = True
+        if not self.has_head:
+            self.head_size += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(HTTPStatus.BAD_REQUEST)
+        except httptools.HttpParserError as error:
+            if not self.is_ending:
+                self.server.log('bad_request', reason=str(error))
+                self._reject(HTTPStatus.BAD_REQUEST)
+        self._check_sizes()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Give up the requests that the client no longer waits for."""
+        self.is_lost = True
+        self.is_ending = True
+        self.server.connections.discard(self)
+        if self.linger is not None and self.linger.active():
+            self.linger.cancel()
+        slots = tuple(self.slots)
+        self.slots.clear()
+        for slot in slots:
+            if slot.answer is None and slot.abandon is not None:
+                slot.abandon()
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self.target = b''
+        self.headers = []
+        self.chunks = []
+        self.body_size = 0
+        self.has_head = False
+
+    def on_url(self, part: bytes) -> None:
+        """Collect the request's target."""
+        self.target += part
+
+    def on_header(self, name: bytes, text: bytes) -> None:
+        """Keep a header; those after the body are dropped."""
+        if not self.has_head:
+            self.headers.append((name, text))
+
+    def on_headers_complete(self) -> None:
+        """Let a client go on that waits for permission to send its body."""
+        self.has_head = True
+        self.head_size = 0
+        for name, text in self.headers:
+            if name.lower() == b'expect' and text.lower() == b'100-continue':
+                self.transport.write(_CONTINUE)
+
+    def on_body(self, chunk: bytes) -> None:
+        """Keep a part of the body within the limit."""
+        self.body_size += len(chunk)
+        if self.body_size <= self.server.limits.body_bytes:
+            self.chunks.append(chunk)
+
+    def on_message_complete(self) -> None:
+        """Serve a whole request."""
+        self.is_reading = False
+        if self.is_ending:
+            return
+        if self.body_size > self.server.limits.body_bytes:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            return
+        method = self.parser.get_method()
+        slot = Slot(
+            is_head=method == b'HEAD',
+            closes=not self.parser.should_keep_alive(),
+        )
+        self.slots.append(slot)
+        if slot.closes:
+            self.is_ending = True
+        request = HttpRequest(
+            method,
+            self.target,
+            end_to_end(self.headers),
+            b''.join(self.chunks),
+        )
+        self.chunks = []
+        self._serve(slot, request)
+
+    def close_if_idle(self) -> None:
+        """Close a connection on which no request waits."""
+        if not self.slots and not self.is_reading:
+            self._end()
+
+    def check_idle(self, now: float) -> None:
+        """Close a connection that has been idle or sends too slowly."""
+        limits = self.server.limits
+        if self.slots or self.is_ending:
+            return
+        if self.is_reading and not self.has_head:
+            if now - self.active_at > limits.header_timeout_s:
+                self._reject(HTTPStatus.REQUEST_TIMEOUT)
+        elif now - self.active_at > limits.idle_timeout_s:
+            self._end()
+
+    def _serve(self, slot: Slot, request: HttpRequest) -> None:
+        def respond(answer: HttpAnswer) -> None:  # noqa: WPS430
+            slot.answer = answer
+            self._flush()
+
+        slot.abandon = self.server.handler.serve(request, self.host, respond)
+        if len(self.slots) >= MOST_PIPELINED and not self.is_paused:
+            self.is_paused = True
+            self.transport.pauseProducing()
+
+    def _flush(self) -> None:
+        """Write the answers whose turn has come."""
+        while self.slots and self.slots[0].answer is not None:
+            slot = self.slots.popleft()
+            if self.is_lost:
+                continue
+            is_last = not self.slots and not self.is_reading
+            closes = slot.closes or (self.server.is_closing and is_last)
+            self.transport.write(
+                answer_bytes(
+                    slot.answer,
+                    closes=closes,
+                    is_head=slot.is_head,
+                ),
+            )
+            self.active_at = self.server.reactor.seconds()
+            if closes:
+                self._end()
+        if self.is_paused and len(self.slots) < MOST_PIPELINED:
+            self.is_paused = False
+            self.transport.resumeProducing()
+
+    def _check_sizes(self) -> None:
+        limits = self.server.limits
+        if self.is_ending:
+            return
+        if not self.has_head and self.head_size > limits.header_bytes * 2:
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif self.body_size > limits.body_bytes:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    def _reject(self, status: HTTPStatus) -> None:
+        """Answer a request that cannot be read, and close."""
+        self.is_ending = True
+        slot = Slot(is_head=False, closes=True)
+        slot.answer = HttpAnswer(status)
+        self.slots.append(slot)
+        self._flush()
+
+    def _end(self) -> None:
+        self.is_ending = True
+        if self.is_lost or self.linger is not None:
+            return
+        self.transport.loseWriteConnection()
+        self.linger = self.server.reactor.callLater(
+            LINGER_S,
+            self.transport.abortConnection,
+        )
+
+
+class HttpServer(Factory):
+    """Listens on one address and hands requests to a handler.
+
+    Attributes
+    ----------
+    is_closing
+        Whether connections close after their next answer.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        reactor: Any,
+        handler: Handler,
+        log: Callable[..., None],
+    ) -> None:
+        self.reactor = reactor
+        self.handler = handler
+        self.log = log
+        self.limits = ClientLimits()
+        self.connections: set[ServerConnection] = set()
+        self.is_closing = False
+        self.reactor.callLater(IDLE_CHECK_S, self._check_idle)
+
+    def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802
+        """Accept a connection."""
+        return ServerConnection(self)
+
+    def start_closing(self) -> None:
+        """Close idle connections now, the others after their last answer."""
+        self.is_closing = True
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
+    def _check_idle(self) -> None:
+        now = self.reactor.seconds()
+        for connection in tuple(self.connections):
+            connection.check_idle(now)
+        self.reactor.callLater(IDLE_CHECK_S, self._check_idle)
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/http_text.py
@@ -0,0 +1,79 @@
+"""Reads and writes HTTP/1.1 messages."""
+
+from http import HTTPStatus
+from typing import Final
+
+from bilberryrail.forwarding.records import Header, HttpAnswer
+
+#: Headers that concern one connection only (RFC 9110, section 7.6.1).
+_HOP_BY_HOP: Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+    ),
+)
+
+_LENGTH: Final = b'content-length'
+
+#: Statuses whose answers never have a body.
+_BODILESS: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
+
+
+def end_to_end(headers: list[Header]) -> tuple[Header, ...]:
+    """Drop the headers that concern only one connection, and the length."""
+    dropped = {_LENGTH}
+    for name, text in headers:
+        if name.lower() == b'connection':
+            dropped.update(
+                word.strip().lower() for word in text.split(b',')
+            )
+    dropped |= _HOP_BY_HOP
+    return tuple(
+        (name, text) for name, text in headers if name.lower() not in dropped
+    )
+
+
+def request_bytes(
+    method: bytes,
+    target: bytes,
+    headers: tuple[Header, ...],
+    body: bytes,
+) -> bytes:
+    """Write a request."""
+    lines = [b'%b %b HTTP/1.1' % (method, target)]
+    lines += [b'%b: %b' % header for header in headers]
+    if body or method in {b'POST', b'PUT', b'PATCH'}:
+        lines.append(b'Content-Length: %d' % len(body))
+    return b'\r\n'.join([*lines, b'', body])
+
+
+def answer_bytes(
+    answer: HttpAnswer,
+    *,
+    closes: bool,
+    is_head: bool = False,
+) -> bytes:
+    """Write an answer."""
+    lines = [b'HTTP/1.1 %d %b' % (answer.status, reason_of(answer.status))]
+    lines += [b'%b: %b' % header for header in answer.headers]
+    if answer.status not in _BODILESS and not is_head:
+        lines.append(b'Content-Length: %d' % len(answer.body))
+    if closes:
+        lines.append(b'Connection: close')
+    body = b'' if is_head else answer.body
+    return b'\r\n'.join([*lines, b'', body])
+
+
+def reason_of(status: int) -> bytes:
+    """Return the reason phrase of a status."""
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b'Unknown'
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -0,0 +1,453 @@
+"""Links between nodes.
+
+A node opens a link to each target that it sends requests to. Requests go one
+way over a link and their outcomes the other way, so two nodes that send to
+each other have two links and never race to open one.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any, Final, Protocol as Interface
+
+from twisted.internet.protocol import ClientFactory, Factory
+from twisted.protocols.basic import Int32StringReceiver
+
+from bilberryrail.core.ids import NodeId
+from bilberryrail.forwarding import messages
+from bilberryrail.forwarding.messages import Message
+from bilberryrail.forwarding.records import Peer
+from bilberryrail.gateway import sockets
+
+#: Room for the largest body that clients may send and its headers.
+MOST_MESSAGE_BYTES: Final = 96 * 1024 * 1024
+
+#: Time to open a link; a round trip between regions takes 60 ms.
+CONNECT_TIMEOUT_S: Final = 0.5
+
+#: Time to exchange Hello.
+HELLO_TIMEOUT_S: Final = 1.0
+
+#: Interval at which silent links are looked at.
+WATCH_INTERVAL_S: Final = 0.1
+
+#: Silence, while outcomes are due, after which a sign of life is asked for.
+PING_AFTER_S: Final = 0.25
+
+#: Silence, while outcomes are due, after which the peer is avoided.
+SUSPECT_AFTER_S: Final = 0.6
+
+#: Silence, while outcomes are due, after which the link is given up. Lost
+#: packets are sent again within about a second.
+LOST_AFTER_S: Final = 1.5
+
+#: Pauses before a link is opened again.
+FIRST_BACKOFF_S: Final = 0.1
+MOST_BACKOFF_S: Final = 2.0
+
+#: Fleet size up to which links to all nodes are kept open.
+MOST_KEPT_LINKS: Final = 40
+
+#: Requests that wait for one link to open.
+MOST_HELD: Final = 200
+
+
+class LinkEvents(Interface):
+    """What links report to."""
+
+    def hello(self) -> messages.Hello:
+        """Build the first message of a link."""
+
+    def received(self, link: 'Link', message: Message) -> None:
+        """Handle a message."""
+
+    def opened(self, link: 'Link') -> None:
+        """Note a link that can be used."""
+
+    def closed(self, link: 'Link') -> None:
+        """Note a link that is gone."""
+
+    def unreachable(self, node: NodeId) -> None:
+        """Note that no link to a peer can be opened now."""
+
+    def suspected(self, node: NodeId) -> None:
+        """Note that a peer owes answers for long."""
+
+    def not_sent(self, node: NodeId, message: Message) -> None:
+        """Note a message that no link has taken."""
+
+
+class Link(Int32StringReceiver):
+    """One connection to another node.
+
+    Attributes
+    ----------
+    expected
+        Node at the other end of a link that this node opened; None for
+        links that others opened.
+    peer
+        Who is at the other end, once it has said Hello.
+    due
+        Requests sent over the link without an outcome.
+    """
+
+    MAX_LENGTH = MOST_MESSAGE_BYTES
+
+    def __init__(self, links: 'Links', expected: NodeId | None) -> None:
+        super().__init__()
+        self.links = links
+        self.expected = expected
+        self.peer: Peer | None = None
+        self.due: set[int] = set()
+        self.heard_at = 0.0
+        self.pinged_at = 0.0
+        self.is_up = False
+        self.used_at = 0.0
+        self.timer: Any = None
+
+    @property
+    def is_own(self) -> bool:
+        """Whether this node opened the link."""
+        return self.expected is not None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Say Hello, or wait for it."""
+        sockets.watch_connection(self.transport)
+        self.heard_at = self.links.reactor.seconds()
+        self.timer = self.links.reactor.callLater(
+            HELLO_TIMEOUT_S,
+            self.transport.abortConnection,
+        )
+        if self.is_own:
+            self.send(self.links.events.hello())
+
+    def send(self, message: Message) -> None:
+        """Write a message."""
+        if isinstance(message, messages.Forward):
+            if not self.due:
+                self.heard_at = self.links.reactor.seconds()
+            self.due.add(message.attempt)
+        elif isinstance(message, messages.Cancel):
+            self.due.discard(message.attempt)
+        self.sendString(messages.encode(message))
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Read a message; a peer that breaks the protocol is hung up on."""
+        self.heard_at = self.links.reactor.seconds()
+        try:
+            message = messages.decode(string)
+        except messages.MessageError as error:
+            self.links.log('bad_message', reason=str(error))
+            self.transport.abortConnection()
+            return
+        if isinstance(message, messages.Hello):
+            self._greeted(message)
+        elif self.peer is None:
+            self.transport.abortConnection()
+            return
+        elif isinstance(
+            message,
+            messages.Answered | messages.Refused | messages.Failed,
+        ):
+            self.due.discard(message.attempt)
+        elif isinstance(message, messages.Forward):
+            self.used_at = self.heard_at
+        self.links.events.received(self, message)
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Hang up on a peer that announces too long a message."""
+        self.links.log('message_too_long', length=length)
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Report the end of the link."""
+        if self.timer.active():
+            self.timer.cancel()
+        self.is_up = False
+        self.links.ended(self, reason.getErrorMessage())
+
+    def watch(self, now: float) -> None:
+        """Ask a silent peer for a sign of life, avoid it, or give it up."""
+        if not self.due:
+            return
+        silence_s = now - self.heard_at
+        if silence_s > LOST_AFTER_S:
+            self.transport.abortConnection()
+            return
+        if silence_s > SUSPECT_AFTER_S:
+            self.links.events.suspected(self.expected)
+        if silence_s > PING_AFTER_S and now - self.pinged_at > PING_AFTER_S:
+            self.pinged_at = now
+            self.send(messages.Ping())
+
+    def _greeted(self, hello: messages.Hello) -> None:
+        is_other = self.is_own and hello.peer.node != self.expected
+        if self.peer is not None or is_other:
+            self.transport.abortConnection()
+            return
+        self.peer = hello.peer
+        self.timer.cancel()
+        if not self.is_own:
+            self.send(self.links.events.hello())
+        self.is_up = True
+        self.links.started(self)
+
+
+class _Accepting(Factory):
+    """Accepts links that other nodes open."""
+
+    noisy = False
+
+    def __init__(self, links: 'Links') -> None:
+        self.links = links
+
+    def buildProtocol(self, addr: Any) -> Link:  # noqa: N802
+        """Accept a link."""
+        return Link(self.links, None)
+
+
+class _Dialing(ClientFactory):
+    """Opens one link."""
+
+    noisy = False
+
+    def __init__(self, links: 'Links', node: NodeId) -> None:
+        self.links = links
+        self.node = node
+
+    def buildProtocol(self, addr: Any) -> Link:  # noqa: N802
+        """Open a link."""
+        return Link(self.links, self.node)
+
+    def clientConnectionFailed(  # noqa: N802
+        self,
+        connector: Any,
+        reason: Any,
+    ) -> None:
+        """Report a node that does not answer."""
+        self.links.dial_failed(self.node, reason.getErrorMessage())
+
+
+class Outgoing:
+    """Link to one target, while it is opened, used and opened again."""
+
+    def __init__(self, peer: Peer) -> None:
+        self.peer = peer
+        self.link: Link | None = None
+        self.is_dialing = False
+        self.backoff_s = FIRST_BACKOFF_S
+        self.held: list[Message] = []
+        self.retry: Any = None
+
+
+class Links:
+    """All links of this node.
+
+    Attributes
+    ----------
+    outgoing
+        Links that this node opens, by target.
+    incoming
+        Newest link that each other node has opened.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        events: LinkEvents,
+        log: Callable[..., None],
+    ) -> None:
+        self.reactor = reactor
+        self.events = events
+        self.log = log
+        self.outgoing: dict[NodeId, Outgoing] = {}
+        self.incoming: dict[NodeId, Link] = {}
+        self.is_closed = False
+        self.acceptor = _Accepting(self)
+        self._watch()
+
+    def follow(self, peers: Iterable[Peer]) -> None:
+        """Keep links to these nodes, if they are not too many."""
+        wanted = {peer.node: peer for peer in peers}
+        for node in self.outgoing.keys() - wanted.keys():
+            self._drop(node)
+        keeps_all = len(wanted) <= MOST_KEPT_LINKS
+        for node, peer in wanted.items():
+            outgoing = self.outgoing.get(node)
+            if outgoing is None:
+                outgoing = Outgoing(peer)
+                self.outgoing[node] = outgoing
+            elif outgoing.peer.incarnation != peer.incarnation:
+                outgoing.backoff_s = FIRST_BACKOFF_S
+                self._hurry(node, outgoing)
+            outgoing.peer = peer
+            if keeps_all and not self._is_busy(outgoing):
+                self._dial(node, outgoing)
+
+    def is_up(self, node: NodeId) -> bool:
+        """Tell whether messages to a target are sent at once."""
+        outgoing = self.outgoing.get(node)
+        link = outgoing.link if outgoing else None
+        return link is not None and link.is_up
+
+    def send(self, node: NodeId, message: Message) -> None:
+        """Send a message to a target, opening a link if there is none."""
+        outgoing = self.outgoing.get(node)
+        if outgoing is None:
+            self.events.not_sent(node, message)
+        elif outgoing.link is not None and outgoing.link.is_up:
+            outgoing.link.send(message)
+        elif isinstance(message, messages.Cancel):
+            outgoing.held = [
+                one
+                for one in outgoing.held
+                if getattr(one, 'attempt', None) != message.attempt
+            ]
+        elif len(outgoing.held) >= MOST_HELD:
+            self.events.not_sent(node, message)
+        else:
+            outgoing.held.append(message)
+            self._hurry(node, outgoing)
+
+    def reply(self, node: NodeId, message: Message) -> None:
+        """Send an outcome to a node over the link that it opened."""
+        link = self.incoming.get(node)
+        if link is not None and link.is_up:
+            link.send(message)
+
+    def broadcast(self, message: Message) -> None:
+        """Send a message to every node that a link is open to."""
+        for node in self.incoming.keys() | self.outgoing.keys():
+            self.tell(node, message)
+
+    def tell(self, node: NodeId, message: Message) -> None:
+        """Send a message over whichever link to a node is open."""
+        link = self.incoming.get(node)
+        if link is None or not link.is_up:
+            outgoing = self.outgoing.get(node)
+            link = outgoing.link if outgoing else None
+        if link is not None and link.is_up:
+            link.send(message)
+
+    def close(self) -> None:
+        """Close all links."""
+        self.is_closed = True
+        for link in tuple(self.incoming.values()):
+            link.transport.loseConnection()
+        for outgoing in self.outgoing.values():
+            if outgoing.link is not None:
+                outgoing.link.transport.loseConnection()
+
+    def started(self, link: Link) -> None:
+        """Use a link from now on."""
+        node = link.peer.node
+        if not link.is_own:
+            older = self.incoming.pop(node, None)
+            if older is not None:
+                older.transport.abortConnection()
+                self.events.closed(older)
+            self.incoming[node] = link
+            self.events.opened(link)
+            return
+        outgoing = self.outgoing.get(node)
+        if outgoing is None:
+            link.transport.loseConnection()
+            return
+        outgoing.link = link
+        outgoing.is_dialing = False
+        outgoing.backoff_s = FIRST_BACKOFF_S
+        self.events.opened(link)
+        held, outgoing.held = outgoing.held, []
+        for message in held:
+            link.send(message)
+
+    def ended(self, link: Link, reason: str) -> None:
+        """Note that a link is gone."""
+        if link.is_own:
+            self._outgoing_ended(link, reason)
+        elif link.peer is not None:
+            if self.incoming.get(link.peer.node) is link:
+                self.incoming.pop(link.peer.node)
+                self.events.closed(link)
+
+    def dial_failed(self, node: NodeId, reason: str) -> None:
+        """Note that a node did not answer."""
+        outgoing = self.outgoing.get(node)
+        if outgoing is None:
+            return
+        outgoing.is_dialing = False
+        outgoing.link = None
+        self.events.unreachable(node)
+        self._release_held(node, outgoing)
+        self._retry_later(node, outgoing)
+
+    def _outgoing_ended(self, link: Link, reason: str) -> None:
+        outgoing = self.outgoing.get(link.expected)
+        if outgoing is None or outgoing.link not in {link, None}:
+            return
+        was_used = outgoing.link is link
+        outgoing.link = None
+        outgoing.is_dialing = False
+        if was_used:
+            self.log('link_lost', peer=link.expected, reason=reason)
+            self.events.closed(link)
+        self._release_held(link.expected, outgoing)
+        self._retry_later(link.expected, outgoing)
+
+    def _release_held(self, node: NodeId, outgoing: Outgoing) -> None:
+        held, outgoing.held = outgoing.held, []
+        for message in held:
+            self.events.not_sent(node, message)
+
+    def _is_busy(self, outgoing: Outgoing) -> bool:
+        is_waiting = outgoing.retry is not None and outgoing.retry.active()
+        return outgoing.link is not None or outgoing.is_dialing or is_waiting
+
+    def _hurry(self, node: NodeId, outgoing: Outgoing) -> None:
+        """Open a link now unless it is being opened."""
+        if outgoing.link is None and not outgoing.is_dialing:
+            self._dial(node, outgoing)
+
+    def _dial(self, node: NodeId, outgoing: Outgoing) -> None:
+        if self.is_closed:
+            return
+        if outgoing.retry is not None and outgoing.retry.active():
+            outgoing.retry.cancel()
+        outgoing.is_dialing = True
+        self.reactor.connectTCP(
+            outgoing.peer.host,
+            outgoing.peer.port,
+            _Dialing(self, node),
+            timeout=CONNECT_TIMEOUT_S,
+        )
+
+    def _retry_later(self, node: NodeId, outgoing: Outgoing) -> None:
+        if self.is_closed or self.outgoing.get(node) is not outgoing:
+            return
+        outgoing.retry = self.reactor.callLater(
+            outgoing.backoff_s,
+            self._retry,
+            node,
+            outgoing,
+        )
+        outgoing.backoff_s = min(outgoing.backoff_s * 2, MOST_BACKOFF_S)
+
+    def _retry(self, node: NodeId, outgoing: Outgoing) -> None:
+        is_current = self.outgoing.get(node) is outgoing
+        if is_current and not outgoing.is_dialing and outgoing.link is None:
+            self._dial(node, outgoing)
+
+    def _drop(self, node: NodeId) -> None:
+        outgoing = self.outgoing.pop(node)
+        if outgoing.retry is not None and outgoing.retry.active():
+            outgoing.retry.cancel()
+        self._release_held(node, outgoing)
+        if outgoing.link is not None:
+            self.events.closed(outgoing.link)
+            outgoing.link.transport.loseConnection()
+
+    def _watch(self) -> None:
+        now = self.reactor.seconds()
+        for outgoing in tuple(self.outgoing.values()):
+            if outgoing.link is not None and outgoing.link.is_up:
+                outgoing.link.watch(now)
+        if not self.is_closed:
+            self.reactor.callLater(WATCH_INTERVAL_S, self._watch)
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/metrics.py
@@ -0,0 +1,94 @@
+"""Counters and latency histograms of the process, as Prometheus text."""
+
+from typing import Final
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from bilberryrail.forwarding.records import (
+    HttpAnswer,
+    HttpRequest,
+)
+from bilberryrail.gateway.http_server import Abandon, Respond
+
+#: Upper bounds in seconds, around the target latencies of 0.1 to 2 s.
+_LATENCY_BUCKETS: Final = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.5,
+    0.8,
+    1.5,
+    3.0,
+    float('inf'),
+)
+
+
+class Metrics:
+    """Collectors of one process, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.answers = self._counter(
+            'answers_total', 'Answers to clients by service and status.'
+        )
+        self.decisions = self._counter(
+            'decisions_total', 'Decisions about requests by kind and reason.'
+        )
+        self.store_calls = self._counter(
+            'store_calls_total', 'Calls to the store by kind and result.'
+        )
+        self.latency = Histogram(
+            'bilberryrail_answer_seconds',
+            'Time from a request to its answer, by service.',
+            buckets=_LATENCY_BUCKETS,
+            registry=self.registry,
+        )
+        self.gauges = Gauge(
+            'bilberryrail_state',
+            'Present state by name.',
+            registry=self.registry,
+        )
+
+    def answered(self, service: str, status: int, took_s: float) -> None:
+        """Count an answer to a client."""
+        self.answers.inc({'service': service, 'status': str(status)})
+        self.latency.observe({'service': service}, took_s)
+
+    def decided(self, kind: str, reason: str = '') -> None:
+        """Count a decision about a request."""
+        self.decisions.inc({'kind': kind, 'reason': reason})
+
+    def called_store(self, kind: str, result: str) -> None:
+        """Count a call to the store."""
+        self.store_calls.inc({'kind': kind, 'result': result})
+
+    def render(self) -> HttpAnswer:
+        """Render all metrics as text."""
+        text, headers = render(self.registry, ['text/plain'])
+        header = (b'Content-Type', headers['Content-Type'].encode())
+        return HttpAnswer(200, (header,), text)
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(f'bilberryrail_{name}', text, registry=self.registry)
+
+
+class MetricsHandler:
+    """Serves the metrics on an address of their own."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.metrics = metrics
+
+    def serve(
+        self,
+        request: HttpRequest,
+        client: str,
+        respond: Respond,
+    ) -> Abandon | None:
+        """Answer with all metrics, whatever the path is."""
+        respond(self.metrics.render())
+        return None
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/shutdown.py
@@ -0,0 +1,96 @@
+"""Ends the process without cutting requests."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+from bilberryrail.forwarding.records import BackendPhase, InstanceId
+
+#: Time for which the process serves clients at least; the platform takes a
+#: node out after two questions a second apart.
+LEAST_SERVING_S: Final = 3.2
+
+#: Part of the grace after which new requests are refused.
+REFUSE_SHARE: Final = 0.7
+
+#: Time before the end of the grace at which the process ends in any case.
+LEFT_S: Final = 0.35
+
+#: Time without requests after which the process ends.
+QUIET_S: Final = 0.3
+
+#: Time for written bytes to leave the process.
+FLUSH_S: Final = 0.1
+
+_CHECK_S: Final = 0.05
+
+
+class Shutdown:
+    """Serves on while clients and nodes turn away, then ends the process.
+
+    Attributes
+    ----------
+    is_started
+        Whether the process is to end.
+    """
+
+    def __init__(
+        self,
+        process: Any,
+        on_stopped: Callable[[], None],
+    ) -> None:
+        self.process = process
+        self.reactor = process.reactor
+        self.on_stopped = on_stopped
+        self.is_started = False
+        self.started_at = 0.0
+        self._busy_at = 0.0
+
+    def begin(self) -> None:
+        """Take no new requests at this target; serve clients for a while."""
+        if self.is_started:
+            return
+        self.is_started = True
+        self.started_at = self.reactor.seconds()
+        self._busy_at = self.started_at
+        process = self.process
+        process.log.process('stop', running=len(process.target.by_number))
+        process.target.leaving = True
+        own = process.membership.own
+        process.announce_own(
+            own.service,
+            InstanceId(own.instance),
+            BackendPhase.DRAINING,
+        )
+        process.follower.announce()
+        process.target.changed()
+        process.client_server.is_closing = True
+        self._check()
+
+    def _check(self) -> None:
+        process = self.process
+        now = self.reactor.seconds()
+        elapsed = now - self.started_at
+        grace_s = process.settings.lifecycle.grace_s
+        if not (process.ingress.idle and process.target.idle):
+            self._busy_at = now
+        if elapsed >= LEAST_SERVING_S:
+            process.client_server.start_closing()
+        if elapsed >= grace_s * REFUSE_SHARE:
+            process.frontend.is_refusing = True
+        is_quiet = now - self._busy_at >= QUIET_S
+        is_over = elapsed >= grace_s - LEFT_S
+        if is_over or (is_quiet and elapsed >= LEAST_SERVING_S + QUIET_S):
+            self._finish()
+        else:
+            self.reactor.callLater(_CHECK_S, self._check)
+
+    def _finish(self) -> None:
+        process = self.process
+        process.log.process(
+            'stopped',
+            unanswered=len(process.ingress.exchanges),
+            running=len(process.target.by_number),
+        )
+        process.follower.stop()
+        process.links.close()
+        self.reactor.callLater(FLUSH_S, self.on_stopped)
--- a/packages/node/bilberryrail/node/logs.py
+++ b/packages/node/bilberryrail/node/logs.py
@@ -1,13 +1,13 @@
 """Log lines of the form ``event=<name> key=value ...``."""
 
-import re
 from collections.abc import Mapping
 from types import MappingProxyType
 from typing import Final
 
 from absl import logging
 
-_PLAIN: Final = re.compile(r'[^\s="\\]+')
+from bilberryrail.core.log_lines import event_line
+
 _LEVELS: Final = MappingProxyType(
     {
         'debug': logging.DEBUG,
@@ -43,19 +43,3 @@
 def fault(name: str, **fields: object) -> None:
     """Write a line about an exception that is being handled."""
     logging.exception('%s', event_line(name, fields))
-
-
-def event_line(name: str, fields: Mapping[str, object]) -> str:
-    """Format one event; values with other than plain characters are quoted."""
-    words = [f'event={_quoted(name)}']
-    words += [f'{key}={_quoted(found)}' for key, found in fields.items()]
-    return ' '.join(words)
-
-
-def _quoted(found: object) -> str:
-    text = str(found)
-    if _PLAIN.fullmatch(text):
-        return text
-    escaped = text.replace('\\', r'\\').replace('"', r'\"')
-    escaped = escaped.replace('\n', r'\n').replace('\r', r'\r')
-    return f'"{escaped}"'
