Exchange lists of nodes only when one knows less

Change: nodes compare counts once a second within a zone and send the list to the one that knows less; Hello carries only the sender.

--- a/packages/forwarding/bilberryrail/forwarding/membership.py
+++ b/packages/forwarding/bilberryrail/forwarding/membership.py
@@ -34,6 +34,10 @@
             self.peers[peer.node] = peer
         return news
 
+    def all(self) -> list[Peer]:
+        """Return every known node, this one and those that left included."""
+        return list(self.peers.values())
+
     def others(self) -> list[Peer]:
         """Return the other nodes that have not left."""
         return [
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -21,17 +21,9 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag=0):
-    """First message in both directions of a link.
-
-    Attributes
-    ----------
-    known
-        Other nodes that the sender knows of.
-    """
+    """First message in both directions of a link."""
 
     peer: Peer
-    known: list[Peer]
-    offset: int
 
 
 class Announce(msgspec.Struct, array_like=True, tag=1):
@@ -117,10 +109,19 @@
     load: BackendLoad
 
 
-class OperatorOffset(msgspec.Struct, array_like=True, tag=10):
-    """Up to which offset the sender has read the operators' records."""
+class Progress(msgspec.Struct, array_like=True, tag=10):
+    """How much the sender knows.
+
+    Attributes
+    ----------
+    offset
+        Offset up to which it has read the operators' records.
+    nodes
+        Number of nodes that it has heard of.
+    """
 
     offset: int
+    nodes: int
 
 
 class OperatorSnapshot(msgspec.Struct, array_like=True, tag=11):
@@ -131,6 +132,12 @@
     zones_out: tuple[AvailabilityZoneId, ...]
 
 
+class Nodes(msgspec.Struct, array_like=True, tag=12):
+    """All nodes that the sender has heard of."""
+
+    peers: list[Peer]
+
+
 Message = (
     Hello
     | Announce
@@ -142,7 +149,8 @@
     | Load
     | Ping
     | Pong
-    | OperatorOffset
+    | Progress
+    | Nodes
     | OperatorSnapshot
 )
 
--- a/packages/gateway/bilberryrail/gateway/gossip.py
+++ b/packages/gateway/bilberryrail/gateway/gossip.py
@@ -16,9 +16,9 @@
 LEAST_SLOWDOWN_CHANGE: Final = 0.4
 LEAST_ROOM_CHANGE: Final = 0.25
 
-#: Interval at which one node of the availability zone is told how far this
-#: node has read the operators' records.
-OFFSET_INTERVAL_S: Final = 1.0
+#: Interval at which one node of the availability zone is told how much this
+#: node knows.
+PROGRESS_INTERVAL_S: Final = 1.0
 
 #: Shortest time between two questions for the operators' state.
 ASK_INTERVAL_S: Final = 0.3
@@ -46,41 +46,50 @@
         """Begin to tell others."""
         self.started_at = self.reactor.seconds()
         self._push_load()
-        self._push_offset()
+        self._push_progress()
 
-    def changed(self) -> None:
-        """Note that the operators' state has changed; the store tells all."""
-
-    def heard_offset(self, node: NodeId, offset: int) -> None:
-        """Compare another node's progress with this node's."""
-        own = self.process.operators.next_offset
+    def heard(self, node: NodeId, progress: messages.Progress) -> None:
+        """Help a node that knows less; ask one that knows more."""
+        own = self._progress()
         now = self.reactor.seconds()
-        if offset > own:
+        if progress.offset > own.offset or progress.nodes > own.nodes:
             self._ask(node, now)
-        elif offset < own:
-            self._give(node, now)
+        if progress.offset < own.offset or progress.nodes < own.nodes:
+            self._give(node, progress, now)
+
+    def _progress(self) -> messages.Progress:
+        return messages.Progress(
+            self.process.operators.next_offset,
+            len(self.process.membership.peers),
+        )
 
     def _ask(self, node: NodeId, now: float) -> None:
         is_early = now - self.started_at < STORE_FIRST_S
         if is_early or now - self._asked_at < ASK_INTERVAL_S:
             return
         self._asked_at = now
-        own = self.process.operators.next_offset
-        self.process.links.tell(node, messages.OperatorOffset(own))
-
-    def _give(self, node: NodeId, now: float) -> None:
+        self.process.links.tell(node, self._progress())
+
+    def _give(
+        self,
+        node: NodeId,
+        progress: messages.Progress,
+        now: float,
+    ) -> None:
         if now - self._sent_at.get(node, 0) < ASK_INTERVAL_S:
             return
         self._sent_at[node] = now
-        snapshot = self.process.operators.snapshot()
-        self.process.links.tell(node, snapshot)
-
-    def _push_offset(self) -> None:
-        self.reactor.callLater(OFFSET_INTERVAL_S, self._push_offset)
+        links = self.process.links
+        if progress.offset < self.process.operators.next_offset:
+            links.tell(node, self.process.operators.snapshot())
+        if progress.nodes < len(self.process.membership.peers):
+            links.tell(node, messages.Nodes(self.process.membership.all()))
+
+    def _push_progress(self) -> None:
+        self.reactor.callLater(PROGRESS_INTERVAL_S, self._push_progress)
         node = self._neighbour()
         if node is not None:
-            own = self.process.operators.next_offset
-            self.process.links.tell(node, messages.OperatorOffset(own))
+            self.process.links.tell(node, self._progress())
 
     def _neighbour(self) -> NodeId | None:
         """Draw a linked node, of this zone or at least of this region."""
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -268,11 +268,7 @@
 
     def hello(self) -> messages.Hello:
         """Build the first message of a link."""
-        return messages.Hello(
-            self.membership.own,
-            self.membership.others(),
-            self.operators.next_offset,
-        )
+        return messages.Hello(self.membership.own)
 
     def received(self, link: Link, message: Message) -> None:
         """Handle a message of another node."""
@@ -290,11 +286,12 @@
                 link.send(messages.Pong(self.target.load()))
             case messages.Announce(peer=peer):
                 self.learn([peer])
-            case messages.Hello(peer=peer, known=known):
-                self.learn([peer, *known])
-                self.gossip.heard_offset(node, message.offset)
-            case messages.OperatorOffset(offset=offset):
-                self.gossip.heard_offset(node, offset)
+            case messages.Hello(peer=peer):
+                self.learn([peer])
+            case messages.Nodes(peers=peers):
+                self.learn(peers)
+            case messages.Progress():
+                self.gossip.heard(node, message)
             case messages.OperatorSnapshot():
                 if self.operators.replace(message):
                     self._operators_changed()
@@ -451,7 +448,6 @@
             zones_out=','.join(sorted(zones_out)),
         )
         self.target.changed()
-        self.gossip.changed()
 
     def _update_rules(self) -> None:
         config = self.operators.config
