Treat a busy target's refusal as a report, keep links until unused

Change: a busy or slow target stays a candidate with its fresh load and lets the request wait the second time; other regions count 0.4 s more; a link to a leaving node closes after its last outcome; a link with a wrong Hello ends.

--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -38,6 +38,9 @@
 #: before it passes a request on; a detour costs a round trip and the body.
 BOUND_FACTOR: Final = 1.5
 
+#: Refusals after which a request may come back and wait.
+_MAY_WAIT: Final = frozenset((Refusal.BUSY, Refusal.SLOW))
+
 #: Width of the random factor that spreads returning clients over time.
 _RETRY_SPREAD: Final = 0.5
 
@@ -76,7 +79,9 @@
     Attributes
     ----------
     excluded
-        Nodes that refused or got the request, with the reason if any.
+        Nodes that cannot take the request, or have it.
+    busy
+        Nodes that could take it only after a wait.
     reached
         Nodes whose backend server may have got it.
     may_have_run
@@ -92,9 +97,9 @@
     expires_at: Seconds
     respond: Callable[[HttpAnswer], None]
     attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
-    excluded: dict[NodeId, Refusal | None] = field(default_factory=dict)
+    excluded: set[NodeId] = field(default_factory=set)
+    busy: set[NodeId] = field(default_factory=set)
     reached: set[NodeId] = field(default_factory=set)
-    refusals: int = 0
     retry_after_s: float = 0
     may_have_run: bool = False
     last_answer: HttpAnswer | None = None
@@ -163,8 +168,7 @@
         if attempt is None:
             return
         exchange = attempt.exchange
-        exchange.refusals += 1
-        exchange.excluded[node] = reply.reason
+        self._exclude(exchange, node, reply.reason)
         if reply.reason in REACHED_BACKEND:
             exchange.reached.add(node)
         exchange.retry_after_s = max(
@@ -216,7 +220,7 @@
         exchange = attempt.exchange
         exchange.reached.add(node)
         exchange.may_have_run = True
-        exchange.excluded[node] = None
+        exchange.excluded.add(node)
         self.on_decision(
             'failed',
             exchange,
@@ -230,6 +234,19 @@
         else:
             self._give_up(exchange, reply.reason.value)
 
+    def _exclude(
+        self,
+        exchange: Exchange,
+        node: NodeId,
+        reason: Refusal,
+    ) -> None:
+        """Keep a request from a target, unless it may wait there."""
+        if reason in _MAY_WAIT and node not in exchange.busy:
+            exchange.busy.add(node)
+            exchange.excluded.discard(node)
+        else:
+            exchange.excluded.add(node)
+
     def link_lost(self, node: NodeId) -> None:
         """Treat all requests at a node that is out of reach as failed."""
         lost = [one for one in self.attempts.values() if one.node == node]
@@ -248,49 +265,23 @@
         self.book.reported(node, load, now)
 
     def _place(self, exchange: Exchange, *, is_repeat: bool) -> None:
-        """Send the request to the best target that has not had it."""
+        """Send the request to the best target that can take it."""
         now = self._now()
-        if exchange.refusals > self.settings.placement.redirects:
-            choice = self._last_resort(exchange, now)
-        else:
-            choice = self._choose(exchange, exchange.excluded, now)
-            choice = choice or self._last_resort(exchange, now)
+        choice = self._choose(exchange, now)
         if choice is None:
             self._give_up(exchange, 'no-target')
             return
         self._send(exchange, choice, now, is_repeat=is_repeat)
 
-    def _choose(
-        self,
-        exchange: Exchange,
-        excluded: Any,
-        now: Seconds,
-    ) -> Choice | None:
+    def _choose(self, exchange: Exchange, now: Seconds) -> Choice | None:
         return self.book.choose(
             exchange.service,
             exchange.route.home_regions,
-            excluded,
+            exchange.excluded,
+            exchange.busy,
             now,
         )
 
-    def _last_resort(self, exchange: Exchange, now: Seconds) -> Choice | None:
-        """Wait in the queue of a target that was only busy or slow."""
-        if exchange.refusals > self.settings.placement.redirects + 1:
-            return None
-        soft = {Refusal.BUSY, Refusal.SLOW}
-        excluded = {
-            node
-            for node, reason in exchange.excluded.items()
-            if reason not in soft
-        }
-        if len(excluded) == len(exchange.excluded):
-            return None
-        choice = self._choose(exchange, excluded, now)
-        if choice is None:
-            return None
-        exchange.refusals = self.settings.placement.redirects + 1
-        return Choice(choice.candidate, choice.expected_s, 0, 'last-resort')
-
     def _send(
         self,
         exchange: Exchange,
@@ -309,7 +300,7 @@
         )
         self.attempts[attempt.attempt] = attempt
         exchange.attempts[attempt.attempt] = attempt
-        exchange.excluded[node] = None
+        exchange.excluded.add(node)
         choice.candidate.sent += 1
         choice.candidate.in_flight += 1
         self.on_decision(
@@ -365,7 +356,7 @@
         if exchange.is_over or len(exchange.attempts) != 1:
             return
         now = self._now()
-        choice = self._choose(exchange, exchange.excluded, now)
+        choice = self._choose(exchange, now)
         if choice is None or choice.candidate.load.limit == 0:
             return
         exchange.reached.update(
--- a/packages/forwarding/bilberryrail/forwarding/selection.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection.py
@@ -1,7 +1,7 @@
 """Choice of the target for a request."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from random import Random
 from typing import Final
@@ -142,10 +142,20 @@
         self,
         service: ServiceId,
         home_regions: tuple[RegionId, ...],
-        excluded: Iterable[NodeId],
+        excluded: Collection[NodeId],
+        busy: Collection[NodeId],
         now: Seconds,
     ) -> Choice | None:
-        """Choose the target with the shortest expected time to an answer."""
+        """Choose the target with the shortest expected time to an answer.
+
+        Parameters
+        ----------
+        excluded
+            Nodes that cannot take the request.
+        busy
+            Nodes that were busy; a request that comes back to one of them
+            waits there.
+        """
         usable = [
             candidate
             for candidate in self._allowed(service, home_regions)
@@ -162,7 +172,9 @@
         if not scored:
             return None
         best_s, best = scored[0]
-        bound_s = scored[1][0] if len(scored) > 1 else 0.0
+        bound_s = 0.0
+        if len(scored) > 1 and best.peer.node not in busy:
+            bound_s = scored[1][0]
         return Choice(
             best,
             max(0.001, best_s),
--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -15,12 +15,10 @@
         Extra time that a target in another availability zone counts for;
         traffic between zones is paid by volume.
     region_penalty_s
-        The same for another region: a round trip of 60 ms and the price of a
-        narrow link.
+        The same for another region: a round trip of 60 ms, and a narrow link
+        that fills up when load moves over it.
     draws
         Targets that are compared for one request.
-    redirects
-        Refusals after which a request waits in a target's queue.
     slowdown_memory_s
         Time in which a report about the present speed loses its meaning.
     avoid_s
@@ -28,9 +26,8 @@
     """
 
     zone_penalty_s: float = 0.004
-    region_penalty_s: float = 0.12
+    region_penalty_s: float = 0.4
     draws: int = 8
-    redirects: int = 3
     slowdown_memory_s: float = 0.3
     avoid_s: float = 0.5
 
--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -140,10 +140,11 @@
             return
         if isinstance(message, messages.Hello):
             self._greeted(message)
-        elif self.peer is None:
+        if self.peer is None:
+            self.links.log('link_without_hello', expected=self.expected)
             self.transport.abortConnection()
             return
-        elif isinstance(
+        if isinstance(
             message,
             messages.Answered | messages.Refused | messages.Failed,
         ):
@@ -179,9 +180,10 @@
             self.send(messages.Ping())
 
     def _greeted(self, hello: messages.Hello) -> None:
-        is_other = self.is_own and hello.peer.node != self.expected
-        if self.peer is not None or is_other:
-            self.transport.abortConnection()
+        if self.is_own and hello.peer.node != self.expected:
+            # Another node has taken over the address.
+            return
+        if self.peer is not None:
             return
         self.peer = hello.peer
         self.timer.cancel()
@@ -268,7 +270,7 @@
         """Keep links to these nodes, if they are not too many."""
         wanted = {peer.node: peer for peer in peers}
         for node in self.outgoing.keys() - wanted.keys():
-            self._drop(node)
+            self._drop_when_unused(node)
         keeps_all = len(wanted) <= MOST_KEPT_LINKS
         for node, peer in wanted.items():
             outgoing = self.outgoing.get(node)
@@ -435,6 +437,12 @@
         if is_current and not outgoing.is_dialing and outgoing.link is None:
             self._dial(node, outgoing)
 
+    def _drop_when_unused(self, node: NodeId) -> None:
+        """Close a link to a node that leaves, after its last outcome."""
+        link = self.outgoing[node].link
+        if link is None or not link.due:
+            self._drop(node)
+
     def _drop(self, node: NodeId) -> None:
         outgoing = self.outgoing.pop(node)
         if outgoing.retry is not None and outgoing.retry.active():
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -310,6 +310,7 @@
             self.book.unreachable(node)
             self.ingress.link_lost(node)
         else:
+            self.log.process('incoming_link_closed', peer=node)
             self.target.peer_lost(node)
 
     def unreachable(self, node: NodeId) -> None:
