Log how long a backend server took, and its stated slowdown

Cause: the relation of the load header's fourth figure to the duration of work was not known. Change: the target logs both for each answer.

--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -147,6 +147,14 @@
             self.backend.answered(work.number, now)
         else:
             self.backend.failed(now)
+        sent_at = self.backend.running.get(work.number, now)
+        self.on_decision(
+            'answered',
+            work,
+            status=answer.status,
+            ran_s=round(now - sent_at, 4),
+            slowdown=round(self.backend.slowdown(now), 2),
+        )
         self._end(work)
         reply = Answered(work.origin.attempt, answer, self.load())
         self.port.reply(work.origin.node, reply)
@@ -269,6 +277,7 @@
             waited_s=round(now - work.arrived_at, 4),
             running=len(self.backend.running),
             limit=self.backend.limit(),
+            slowdown=round(self.backend.slowdown(now), 2),
         )
         self.port.dispatch(work, instance)
 
