Name the expected node in Hello; an address belongs to its newest node

Cause: a new host took over the address of one that had left. Ruled out: lost packets (no loss in that window), SIGTERM of the target. Change: Hello names whom the dialer expects; a wrong one is answered and closed before it replaces a link; membership forgets a node whose address a later one has announced.

--- a/packages/forwarding/bilberryrail/forwarding/membership.py
+++ b/packages/forwarding/bilberryrail/forwarding/membership.py
@@ -16,11 +16,14 @@
     ----------
     own
         Announcement of this node.
+    gone
+        Newest announcements of nodes whose address another node has taken.
     """
 
     def __init__(self, own: Peer) -> None:
         self.own = own
         self.peers: dict[NodeId, Peer] = {own.node: own}
+        self.gone: dict[NodeId, Peer] = {}
 
     def announce(self, own: Peer) -> None:
         """Replace this node's announcement."""
@@ -31,6 +34,9 @@
         """Take announcements; return those that are news about others."""
         news = [peer for peer in peers if self._is_news(peer)]
         for peer in news:
+            for older in self._at_address(peer):
+                self.forget(older.node)
+            self.gone.pop(peer.node, None)
             self.peers[peer.node] = peer
         return news
 
@@ -46,8 +52,28 @@
             if peer.node != self.own.node and not peer.leaving
         ]
 
+    def forget(self, node: NodeId) -> None:
+        """Drop a node that is known to be gone for good."""
+        known = self.peers.pop(node, None)
+        if known is not None:
+            self.gone[node] = known
+
     def _is_news(self, peer: Peer) -> bool:
         if peer.node == self.own.node:
             return False
-        known = self.peers.get(peer.node)
-        return known is None or peer.is_newer_than(known)
+        known = self.peers.get(peer.node) or self.gone.get(peer.node)
+        if known is not None and not peer.is_newer_than(known):
+            return False
+        return not any(
+            other.started_ms > peer.started_ms
+            for other in self._at_address(peer)
+        )
+
+    def _at_address(self, peer: Peer) -> list[Peer]:
+        """Return other nodes that are announced at the same address."""
+        return [
+            other
+            for other in self.peers.values()
+            if (other.host, other.port) == (peer.host, peer.port)
+            and other.node != peer.node
+        ]
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bilberryrail.core.ids import AttemptId, AvailabilityZoneId
+from bilberryrail.core.ids import AttemptId, AvailabilityZoneId, NodeId
 from bilberryrail.forwarding.records import (
     BackendLoad,
     Failure,
@@ -21,9 +21,17 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag=0):
-    """First message in both directions of a link."""
+    """First message in both directions of a link.
+
+    Attributes
+    ----------
+    expected
+        Node that the sender wants to reach. Another one may have taken over
+        its address.
+    """
 
     peer: Peer
+    expected: NodeId
 
 
 class Announce(msgspec.Struct, array_like=True, tag=1):
--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -53,9 +53,12 @@
 class LinkEvents(Interface):
     """What links report to."""
 
-    def hello(self) -> messages.Hello:
+    def hello(self, expected: NodeId) -> messages.Hello:
         """Build the first message of a link."""
 
+    def replaced(self, node: NodeId) -> None:
+        """Note that another node has the address of a peer."""
+
     def received(self, link: 'Link', message: Message) -> None:
         """Handle a message."""
 
@@ -117,7 +120,7 @@
             self.transport.abortConnection,
         )
         if self.is_own:
-            self.send(self.links.events.hello())
+            self.send(self.links.events.hello(self.expected))
 
     def send(self, message: Message) -> None:
         """Write a message."""
@@ -142,7 +145,7 @@
             self._greeted(message)
         if self.peer is None:
             self.links.log('link_without_hello', expected=self.expected)
-            self.transport.abortConnection()
+            self.transport.loseConnection()
             return
         if isinstance(
             message,
@@ -180,15 +183,19 @@
             self.send(messages.Ping())
 
     def _greeted(self, hello: messages.Hello) -> None:
+        if self.peer is not None:
+            return
         if self.is_own and hello.peer.node != self.expected:
-            # Another node has taken over the address.
+            self.links.events.replaced(self.expected)
             return
-        if self.peer is not None:
+        if not self.is_own and hello.expected != self.links.node:
+            # Says who is here; the dialer then forgets the other node.
+            self.send(self.links.events.hello(hello.peer.node))
             return
         self.peer = hello.peer
         self.timer.cancel()
         if not self.is_own:
-            self.send(self.links.events.hello())
+            self.send(self.links.events.hello(hello.peer.node))
         self.is_up = True
         self.links.started(self)
 
@@ -254,10 +261,12 @@
     def __init__(
         self,
         reactor: Any,
+        node: NodeId,
         events: LinkEvents,
         log: Callable[..., None],
     ) -> None:
         self.reactor = reactor
+        self.node = node
         self.events = events
         self.log = log
         self.outgoing: dict[NodeId, Outgoing] = {}
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -88,7 +88,7 @@
         self.membership = Membership(self._first_announcement())
         self.book = CandidateBook(forwarding, self.random)
         self.backend = Backend(forwarding.admission)
-        self.links = Links(reactor, self, log.process)
+        self.links = Links(reactor, settings.node, self, log.process)
         self.target = Target(forwarding, reactor, self.backend, self)
         self.ingress = Ingress(
             forwarding, reactor, self.random, self.book, self
@@ -266,9 +266,9 @@
 
     # Events of the links
 
-    def hello(self) -> messages.Hello:
+    def hello(self, expected: NodeId) -> messages.Hello:
         """Build the first message of a link."""
-        return messages.Hello(self.membership.own)
+        return messages.Hello(self.membership.own, expected)
 
     def received(self, link: Link, message: Message) -> None:
         """Handle a message of another node."""
@@ -317,6 +317,11 @@
         """Avoid a target to which no link can be opened."""
         self.book.unreachable(node)
 
+    def replaced(self, node: NodeId) -> None:
+        """Forget a node whose address another one has."""
+        self.membership.forget(node)
+        self._members_changed()
+
     def suspected(self, node: NodeId) -> None:
         """Avoid a target that owes answers for long."""
         self.book.avoid(node, Seconds(self.reactor.seconds()))
