--- a/dev.py
+++ b/dev.py
@@ -38,6 +38,7 @@
     'node': [['-m', 'bilberryrail.node']],
     'cli': [['-m', 'bilberryrail.cli']],
     'bench': [['-m', 'bilberryrail.bench']],
+    'soak': [['-m', 'bilberryrail.soak']],
 }
 
 
--- a/packages/gateway/bilberryrail/gateway/http_channel.py
+++ b/packages/gateway/bilberryrail/gateway/http_channel.py
@@ -7,7 +7,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
-from bilberryrail.forwarding.records import Header
+from bilberryrail.forwarding.records import Header, find_header
 from bilberryrail.gateway import sockets
 from bilberryrail.gateway.answer_reader import (
     AnswerError,
@@ -154,11 +154,13 @@
 
         Raises ``ChannelError`` if there is no whole answer in time.
         """
-        host = b'%b:%d' % (self.host.encode(), self.port)
+        if find_header(headers, b'host') is None:
+            host = b'%b:%d' % (self.host.encode(), self.port)
+            headers = ((b'Host', host), *headers)
         payload = request_bytes(
             method,
             target,
-            ((b'Host', host), *headers),
+            headers,
             body,
         )
         connection = self.connection or self._open()
--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -22,7 +22,8 @@
 
 def first_announcement(settings: GatewaySettings, random: Random) -> Peer:
     """Build the announcement of a node that has just started."""
-    links = parse_address(settings.listen.links)
+    listen = settings.listen
+    links = parse_address(listen.public_links or listen.links)
     return Peer(
         node=settings.node,
         incarnation=Incarnation(random.getrandbits(_INCARNATION_BITS)),
--- a/packages/gateway/bilberryrail/gateway/settings.py
+++ b/packages/gateway/bilberryrail/gateway/settings.py
@@ -49,6 +49,8 @@
         Announcements of the backend server.
     links
         Links of other nodes.
+    public_links
+        Address at which other nodes reach the links; the same if empty.
     metrics
         Metrics as text.
     """
@@ -58,6 +60,7 @@
     control: _AddressText
     links: _AddressText
     metrics: _AddressText
+    public_links: _AddressText | None = None
 
 
 class LifecycleSettings(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/packages/soak/bilberryrail/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real node processes, faults from outside, promises."""
--- /dev/null
+++ b/packages/soak/bilberryrail/soak/fleet.py
@@ -0,0 +1,187 @@
+"""Starts the real nodes as processes, with stand-ins and proxies around."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+from bilberryrail.adapter import names
+from bilberryrail.adapter.standins.backend_server import (
+    BackendServer,
+    Departure,
+    Run,
+)
+from bilberryrail.adapter.standins.caller import Caller
+from bilberryrail.adapter.standins.log_service import LogService
+from bilberryrail.gateway.http_server import HttpServer
+from bilberryrail.soak import topology
+from bilberryrail.soak.checkers import Records
+from bilberryrail.soak.proxy import Proxy
+
+CALLERS_PER_HOST: Final = 2
+
+_SETTINGS_VARIABLE: Final = 'BILBERRYRAIL_SETTINGS'
+
+
+class NodeProcess:
+    """The process of one node.
+
+    Attributes
+    ----------
+    exit_codes
+        Exit codes of earlier runs that ended by themselves or on SIGTERM.
+    """
+
+    def __init__(self, host: topology.Host, folder: Path) -> None:
+        self.host = host
+        self.settings = folder / f'{host.name}.json'
+        self.settings.write_text(json.dumps(host.settings()))
+        self.output = folder / f'{host.name}.log'
+        self.child: subprocess.Popen[bytes] | None = None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process runs."""
+        return self.child is not None and self.child.poll() is None
+
+    def start(self) -> None:
+        """Start the process unless it runs."""
+        if self.is_running:
+            return
+        with self.output.open('ab') as output:
+            self.child = subprocess.Popen(
+                [sys.executable, '-m', 'bilberryrail.adapter.main'],
+                env={**os.environ, _SETTINGS_VARIABLE: str(self.settings)},
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    def send(self, signum: signal.Signals) -> None:
+        """Send a signal to this very process, if it runs."""
+        if self.is_running:
+            self.child.send_signal(signum)
+
+    def end(self) -> None:
+        """Kill the process and wait for its end."""
+        if self.child is not None:
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGKILL)
+            self.child.wait()
+
+
+class Fleet:
+    """All processes and stand-ins of one soak."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        random: Random,
+        hosts: list[topology.Host],
+        network: int,
+        folder: Path,
+    ) -> None:
+        self.reactor = reactor
+        self.hosts = hosts
+        self.records = Records(
+            callers={host.name: host.service for host in hosts},
+            cold_limit=topology.COLD_PER_S * topology.COLD_FACTOR
+            + topology.COLD_SLACK,
+        )
+        self.records.home_zones[topology.HOME_BOOKING.prefix] = frozenset(
+            host.zone for host in hosts if host.region == topology.HOME_REGION
+        )
+        self.log = LogService(reactor)
+        self.nodes = {host.name: NodeProcess(host, folder) for host in hosts}
+        self.links: dict[str, Proxy] = {}
+        self.stores: dict[str, Proxy] = {}
+        self.backends: dict[str, BackendServer] = {}
+        self.callers: list[Caller] = []
+        self.version = 1
+        self._serve(topology.store_address(network), self.log)
+        for host in hosts:
+            self._surround(host, random, topology.store_address(network))
+
+    def start(self) -> None:
+        """Write the first configuration, then start everything."""
+        self.write_config(50)
+        for node in self.nodes.values():
+            node.start()
+        for backend in self.backends.values():
+            backend.start()
+
+    def start_callers(self) -> None:
+        """Begin to send requests."""
+        for caller in self.callers:
+            caller.start()
+
+    def stop(self) -> None:
+        """End all processes that this soak has started."""
+        for caller in self.callers:
+            caller.is_stopped = True
+        for backend in self.backends.values():
+            backend.is_stopped = True
+        for node in self.nodes.values():
+            node.end()
+
+    def write_config(self, board_weight: int) -> None:
+        """Let the operators write another configuration."""
+        self.version += 3
+        raw = topology.configuration(self.version, board_weight)
+        self.log.put(names.OPERATOR_TOPIC, names.CONFIG_KEY, raw)
+
+    def set_zone(self, zone: str, *, is_out: bool) -> None:
+        """Let the operators take a zone out, or bring it back."""
+        key = f'{names.EVACUATION_PREFIX}{zone}'
+        self.log.put(names.OPERATOR_TOPIC, key, b'{}' if is_out else b'')
+
+    def _surround(
+        self, host: topology.Host, random: Random, store: Any
+    ) -> None:
+        links = Proxy(self.reactor, host.at('links'))
+        self.links[host.name] = links
+        self._listen(host.at('public_links'), links)
+        self.stores[host.name] = Proxy(self.reactor, store)
+        self._listen(host.at('store'), self.stores[host.name])
+        backend = BackendServer(
+            self.reactor,
+            random,
+            host.service,
+            host.zone,
+            host.at('backend'),
+            host.at('control'),
+            self._record,
+        )
+        self.backends[host.name] = backend
+        self._serve(host.at('backend'), backend)
+        for _ in range(CALLERS_PER_HOST):
+            self.callers.append(
+                Caller(
+                    self.reactor,
+                    random,
+                    host.name,
+                    host.at('clients'),
+                    topology.ROUTES,
+                    self.records.calls.append,
+                ),
+            )
+
+    def _record(self, seen: Run | Departure) -> None:
+        if isinstance(seen, Run):
+            self.records.runs.append(seen)
+        else:
+            self.records.departures.append(seen)
+
+    def _serve(self, address: Any, service: Any) -> None:
+        self._listen(address, HttpServer(self.reactor, service, _ignore))
+
+    def _listen(self, address: Any, factory: Any) -> None:
+        self.reactor.listenTCP(address.port, factory, interface=address.host)
+
+
+def _ignore(event: str, **fields: object) -> None:
+    """Stand in for a log."""
--- /dev/null
+++ b/packages/soak/bilberryrail/soak/topology.py
@@ -0,0 +1,167 @@
+"""Hosts, services and routes of a soak, all on loopback addresses."""
+
+import json
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import Any, Final
+
+from bilberryrail.adapter.standins.backend_server import HEALTH_PATH
+from bilberryrail.adapter.standins.caller import RouteUse
+from bilberryrail.gateway.settings import Address
+
+SERVICES: Final = ('board', 'desk')
+
+#: Zones by region; two regions of two zones, as the users have.
+ZONES: Final = (
+    ('ub-east', 'ulaanbaatar'),
+    ('ub-west', 'ulaanbaatar'),
+    ('dk-north', 'darkhan'),
+    ('dk-south', 'darkhan'),
+)
+
+HOME_REGION: Final = 'ulaanbaatar'
+COLD_PER_S: Final = 40.0
+COLD_FACTOR: Final = 1.5
+COLD_SLACK: Final = 5.0
+GRACE_S: Final = 6.0
+
+LOOKUP: Final = RouteUse('club.example', '/status/', is_idempotent=True)
+BOOKING: Final = RouteUse('club.example', '/book/', is_idempotent=False)
+HOME_BOOKING: Final = RouteUse('club.example', '/home/', is_idempotent=False)
+ROUTES: Final = (LOOKUP, BOOKING, HOME_BOOKING)
+
+_NETWORK_BITS: Final = 200
+_PORTS: Final = MappingProxyType(
+    {
+        'clients': 8300,
+        'backend': 8301,
+        'ready': 8302,
+        'control': 8306,
+        'store': 8309,
+        'links': 7620,
+        'public_links': 7720,
+        'metrics': 9464,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """One host: a node and the backend server beside it.
+
+    Attributes
+    ----------
+    ip
+        Loopback address of its own.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    region: str
+    service: str
+
+    def at(self, port: str) -> Address:
+        """Return one of the host's addresses by the name of its port."""
+        return Address(self.ip, _PORTS[port])
+
+    def text(self, port: str) -> str:
+        """Return an address as settings write it."""
+        return f'{self.ip}:{_PORTS[port]}'
+
+    def settings(self) -> dict[str, Any]:
+        """Return the settings of the node."""
+        return {
+            'forwarding': {
+                'node': self.name,
+                'zone': self.zone,
+                'region': self.region,
+                'admission': {
+                    'cold_factor': COLD_FACTOR,
+                    'cold_slack': COLD_SLACK,
+                },
+            },
+            'listen': {
+                name: self.text(name)
+                for name in (
+                    'clients',
+                    'ready',
+                    'control',
+                    'links',
+                    'public_links',
+                    'metrics',
+                )
+            },
+            'service': self.service,
+            'backend': self.text('backend'),
+            'store': self.text('store'),
+            'lifecycle': {'grace_s': GRACE_S},
+        }
+
+
+def make_hosts(network: int, count: int) -> list[Host]:
+    """Spread hosts over zones and services."""
+    octet = 1 + network % _NETWORK_BITS
+    hosts = []
+    for index in range(count):
+        zone, region = ZONES[index % len(ZONES)]
+        service = SERVICES[index // len(ZONES) % len(SERVICES)]
+        ip = f'127.{octet}.{1 + index % len(ZONES)}.{10 + index}'
+        hosts.append(Host(f'n{index}', ip, zone, region, service))
+    return hosts
+
+
+def store_address(network: int) -> Address:
+    """Return the address of the store."""
+    octet = 1 + network % _NETWORK_BITS
+    return Address(f'127.{octet}.250.1', _PORTS['store'])
+
+
+def configuration(version: int, board_weight: int) -> bytes:
+    """Write a configuration; bookings are split between both services."""
+    routes = {
+        'lookup': _route(LOOKUP, service='board'),
+        'booking': _route(
+            BOOKING,
+            traffic_split=[
+                {'service': 'board', 'weight': board_weight},
+                {'service': 'desk', 'weight': 100 - board_weight},
+            ],
+        ),
+        'home': _route(
+            HOME_BOOKING,
+            service='desk',
+            allowed_regions=[HOME_REGION],
+        ),
+    }
+    services = {
+        name: {
+            'health_check': HEALTH_PATH,
+            'max_connections': 100,
+            'protocol': 'h1',
+            'tls': False,
+            'cold_period': 3,
+            'cold_per_s': COLD_PER_S,
+        }
+        for name in SERVICES
+    }
+    body = {
+        'version': version,
+        'routes': routes,
+        'services': services,
+        'limits': {},
+    }
+    return json.dumps(body).encode()
+
+
+def _route(use: RouteUse, **terms: Any) -> dict[str, Any]:
+    kind = 'safe' if use.is_idempotent else 'unsafe'
+    return {
+        'host': use.host,
+        'path_prefix': use.prefix,
+        'kind': kind,
+        'timeout': 1.2,
+        'target_latency': 0.3,
+        'priority': 1,
+        'max_attempts': 2,
+    } | terms
