Keep links within a region, relay announcements between regions

Targets without a report counted as 50 ms, so they got the requests. Change: links to all nodes of the region (up to 160); a change goes to two nodes of each other region, which relay it; nodes compare the sum of known changes; a target without a report counts as usual for its service; loads go to the whole availability zone.

--- a/packages/forwarding/bilberryrail/forwarding/membership.py
+++ b/packages/forwarding/bilberryrail/forwarding/membership.py
@@ -40,6 +40,11 @@
             self.peers[peer.node] = peer
         return news
 
+    @property
+    def news(self) -> int:
+        """Changes of nodes that are known, to compare with other nodes."""
+        return sum(peer.serial + 1 for peer in self.peers.values())
+
     def all(self) -> list[Peer]:
         """Return every known node, this one and those that left included."""
         return list(self.peers.values())
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -124,12 +124,12 @@
     ----------
     offset
         Offset up to which it has read the operators' records.
-    nodes
-        Number of nodes that it has heard of.
+    news
+        Changes of nodes that it has heard of, summed over all nodes.
     """
 
     offset: int
-    nodes: int
+    news: int
 
 
 class OperatorSnapshot(msgspec.Struct, array_like=True, tag=11):
--- a/packages/forwarding/bilberryrail/forwarding/selection.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection.py
@@ -16,9 +16,13 @@
 from bilberryrail.forwarding.records import BackendLoad, BackendPhase, Peer
 from bilberryrail.forwarding.settings import ForwardingSettings
 
-#: Time to an answer that is assumed while a target has reported none.
+#: Time to an answer that is assumed while no target of a service has reported
+#: one.
 _UNKNOWN_SERVICE_S: Final = 0.05
 
+#: Weight of the newest report in the usual time of a service.
+_SERVICE_WEIGHT: Final = 0.1
+
 #: Weight of the newest report in the usual slowdown of a target.
 _USUAL_WEIGHT: Final = 0.05
 
@@ -94,6 +98,8 @@
     ----------
     zones_out
         Availability zones that operators have taken out.
+    service_s
+        Usual time to an answer of each service.
     """
 
     def __init__(self, settings: ForwardingSettings, random: Random) -> None:
@@ -102,6 +108,7 @@
         self.candidates: dict[NodeId, Candidate] = {}
         self.by_service: dict[ServiceId, list[Candidate]] = {}
         self.zones_out: frozenset[AvailabilityZoneId] = frozenset()
+        self.service_s: dict[ServiceId, float] = {}
 
     def update(self, peers: Iterable[Peer]) -> None:
         """Follow the announcements of the nodes."""
@@ -127,6 +134,11 @@
         candidate.load = load
         candidate.load_at = now
         candidate.sent = 0
+        if load.service_s:
+            service = candidate.peer.service
+            usual_s = self.service_s.get(service, load.service_s)
+            change_s = load.service_s - usual_s
+            self.service_s[service] = usual_s + _SERVICE_WEIGHT * change_s
 
     def unreachable(self, node: NodeId) -> None:
         """Avoid a target until a link to it is open again."""
@@ -203,12 +215,21 @@
         reported = (load.running + load.waiting) * weight
         occupied = max(reported + candidate.sent, candidate.in_flight)
         expected_s = (
-            (load.service_s or _UNKNOWN_SERVICE_S)
+            (load.service_s or self._usual_s(candidate))
             * slowdown
             * _crowding(occupied, max(1, load.limit))
         )
         return expected_s * (1 + load.error_share * _ERROR_COST)
 
+    def _usual_s(self, candidate: Candidate) -> float:
+        """Return the usual time of a target that has reported none.
+
+        It is that of its service; a guess that is too short would send all
+        requests to targets that nobody has heard of.
+        """
+        service = candidate.peer.service
+        return self.service_s.get(service, _UNKNOWN_SERVICE_S)
+
     def _freshness(self, candidate: Candidate, now: Seconds) -> float:
         """Weigh a report by its age, from 0 to 1."""
         age = now - candidate.load_at
--- a/packages/forwarding/bilberryrail/forwarding/selection_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection_test.py
@@ -50,6 +50,13 @@
     assert shares(book, now=later).get('a', 0) > 10
 
 
+def test_unheard_target_is_no_better_than_the_others(book):
+    # Guards against a guess that sends all requests to targets that have
+    # reported nothing yet.
+    book.reported(NodeId('a'), load(service_s=0.5), NOW)
+    assert shares(book).get('a', 0) > 20
+
+
 def test_full_target_is_avoided(book):
     # Guards against a queue at one target beside idle ones.
     book.reported(NodeId('a'), load(running=8, waiting=4), NOW)
--- a/packages/gateway/bilberryrail/gateway/gossip.py
+++ b/packages/gateway/bilberryrail/gateway/gossip.py
@@ -9,7 +9,7 @@
 from bilberryrail.forwarding.operators import OperatorState
 from bilberryrail.forwarding.records import BackendLoad
 from bilberryrail.forwarding.target import Target
-from bilberryrail.gateway.links import Links
+from bilberryrail.gateway.links import Link, Links
 
 #: Interval at which a changed load is sent to nodes that use this target.
 LOAD_INTERVAL_S: Final = 0.1
@@ -69,15 +69,15 @@
         """Help a node that knows less; ask one that knows more."""
         own = self._progress()
         now = self.reactor.seconds()
-        if progress.offset > own.offset or progress.nodes > own.nodes:
+        if progress.offset > own.offset or progress.news > own.news:
             self._ask(node, now)
-        if progress.offset < own.offset or progress.nodes < own.nodes:
+        if progress.offset < own.offset or progress.news < own.news:
             self._give(node, progress, now)
 
     def _progress(self) -> messages.Progress:
         return messages.Progress(
             self.operators.next_offset,
-            len(self.membership.peers),
+            self.membership.news,
         )
 
     def _ask(self, node: NodeId, now: float) -> None:
@@ -98,7 +98,7 @@
         self._sent_at[node] = now
         if progress.offset < self.operators.next_offset:
             self.links.tell(node, self.operators.snapshot())
-        if progress.nodes < len(self.membership.peers):
+        if progress.news < self.membership.news:
             self.links.tell(node, messages.Nodes(self.membership.all()))
 
     def _push_progress(self) -> None:
@@ -128,12 +128,22 @@
             return
         self.pushed = load
         now = self.reactor.seconds()
-        region = self.membership.own.region
         for link in tuple(self.links.incoming.values()):
-            is_interested = now - link.used_at < INTEREST_S
-            if link.is_up and is_interested and link.peer.region == region:
+            if link.is_up and self._wants_load(link, now):
                 link.send(messages.Load(load))
 
+    def _wants_load(self, link: Link, now: float) -> bool:
+        """Tell whether a node chooses among targets like this one.
+
+        Traffic within an availability zone is free; others are told only
+        while they use this target.
+        """
+        own = self.membership.own
+        if link.peer.zone == own.zone:
+            return True
+        is_interested = now - link.used_at < INTEREST_S
+        return is_interested and link.peer.region == own.region
+
     def _is_news(self, load: BackendLoad) -> bool:
         before = self.pushed
         if load.limit != before.limit:
--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -5,14 +5,14 @@
 each other have two links and never race to open one.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Final
 from typing import Protocol as Interface
 
 from twisted.internet.protocol import ClientFactory, Factory
 from twisted.protocols.basic import Int32StringReceiver
 
-from bilberryrail.core.ids import NodeId
+from bilberryrail.core.ids import NodeId, RegionId
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.records import Peer
 from bilberryrail.gateway import sockets
@@ -43,8 +43,11 @@
 FIRST_BACKOFF_S: Final = 0.1
 MOST_BACKOFF_S: Final = 2.0
 
-#: Fleet size up to which links to all nodes are kept open.
+#: Fleet size up to which links to all nodes are kept open, and region size up
+#: to which links to all nodes of the own region are. Each costs two sockets
+#: and some 20 KB; others are opened when they are needed.
 MOST_KEPT_LINKS: Final = 40
+MOST_REGION_LINKS: Final = 160
 
 #: Requests that wait for one link to open.
 MOST_HELD: Final = 200
@@ -264,16 +267,24 @@
         Links that this node opens, by target.
     incoming
         Newest link that each other node has opened.
+    kept
+        Nodes to which links are kept open.
+    is_full_mesh
+        Whether these are all nodes.
     """
 
     def __init__(
         self,
         reactor: Any,
         node: NodeId,
+        region: RegionId,
         log: Callable[..., None],
     ) -> None:
         self.reactor = reactor
         self.node = node
+        self.region = region
+        self.kept: frozenset[NodeId] = frozenset()
+        self.is_full_mesh = True
         self.events: LinkEvents | None = None
         self.log = log
         self.outgoing: dict[NodeId, Outgoing] = {}
@@ -287,7 +298,8 @@
         wanted = {peer.node: peer for peer in peers}
         for node in self.outgoing.keys() - wanted.keys():
             self._drop_when_unused(node)
-        keeps_all = len(wanted) <= MOST_KEPT_LINKS
+        self.is_full_mesh = len(wanted) <= MOST_KEPT_LINKS
+        self.kept = choose_kept(wanted, self.region)
         for node, peer in wanted.items():
             outgoing = self.outgoing.get(node)
             if outgoing is None:
@@ -297,7 +309,7 @@
                 outgoing.backoff_s = FIRST_BACKOFF_S
                 self._hurry(node, outgoing)
             outgoing.peer = peer
-            if keeps_all and not outgoing.is_busy:
+            if node in self.kept and not outgoing.is_busy:
                 self._dial(node, outgoing)
 
     def is_up(self, node: NodeId) -> bool:
@@ -473,3 +485,16 @@
                 outgoing.link.watch(now)
         if not self.is_closed:
             self.reactor.callLater(WATCH_INTERVAL_S, self._watch)
+
+
+def choose_kept(
+    peers: Mapping[NodeId, Peer],
+    region: RegionId,
+) -> frozenset[NodeId]:
+    """Choose the nodes to which links are kept open."""
+    if len(peers) <= MOST_KEPT_LINKS:
+        return frozenset(peers)
+    near = frozenset(
+        node for node, peer in peers.items() if peer.region == region
+    )
+    return near if len(near) <= MOST_REGION_LINKS else frozenset()
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
-from bilberryrail.core.ids import NodeId
+from bilberryrail.core.ids import NodeId, RegionId
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.fixtures_test import forward, peer
 from bilberryrail.gateway.http_server_test import FakeTransport, ignore
@@ -67,6 +67,7 @@
         self.links = Links(
             self.reactor,
             NodeId('n1'),
+            RegionId('home'),
             ignore,
         )
         self.links.events = self.events
--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -7,7 +7,13 @@
 
 from twisted.internet.defer import Deferred
 
-from bilberryrail.core.ids import Incarnation, NodeId, Seconds, ServiceId
+from bilberryrail.core.ids import (
+    Incarnation,
+    NodeId,
+    RegionId,
+    Seconds,
+    ServiceId,
+)
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.ingress import Ingress
@@ -16,6 +22,10 @@
 from bilberryrail.gateway.links import Links
 from bilberryrail.gateway.settings import GatewaySettings, parse_address
 
+#: Nodes of another region that are told about a change and relay it there;
+#: two, so that one of them may be down.
+RELAYS: Final = 2
+
 _INCARNATION_BITS: Final = 62
 _MS_PER_S: Final = 1000
 
@@ -53,6 +63,7 @@
     def __init__(
         self,
         clock: Any,
+        random: Random,
         membership: Membership,
         links: Links,
         ingress: Ingress,
@@ -60,6 +71,7 @@
         log: Callable[..., None],
     ) -> None:
         self.clock = clock
+        self.random = random
         self.membership = membership
         self.links = links
         self.ingress = ingress
@@ -95,8 +107,17 @@
             return self.store()
         return None
 
-    def learn(self, peers: list[Peer]) -> None:
-        """Take announcements of other nodes."""
+    def heard(self, sender: Peer, announced: Peer) -> None:
+        """Take an announcement, and relay it if it came from far away."""
+        is_news = bool(self.learn([announced]))
+        is_far = sender.region != self.membership.own.region
+        if is_news and is_far and not self.links.is_full_mesh:
+            news = messages.Announce(announced)
+            for node in self.links.kept:
+                self.links.tell(node, news)
+
+    def learn(self, peers: list[Peer]) -> list[Peer]:
+        """Take announcements of other nodes; return those that are news."""
         news = self.membership.learn(peers)
         for peer in peers:
             if peer.node == self.membership.own.node:
@@ -112,6 +133,7 @@
                 phase=found.phase.value,
                 leaving=found.leaving,
             )
+        return news
 
     def forget(self, node: NodeId) -> None:
         """Drop a node whose address another one has."""
@@ -126,9 +148,9 @@
         self.links.follow(others)
         self.ingress.repeats.resize(len(others) + 1)
         now = Seconds(self.clock.seconds())
-        for peer in others:
-            if not self.links.is_up(peer.node):
-                self.book.avoid(peer.node, now)
+        for node in self.links.kept:
+            if not self.links.is_up(node):
+                self.book.avoid(node, now)
 
     def _announce(
         self,
@@ -153,9 +175,23 @@
                 leaving=self.is_leaving,
             ),
         )
-        self.links.broadcast(messages.Announce(self.membership.own))
+        self._spread(messages.Announce(self.membership.own))
         self.follow()
 
+    def _spread(self, news: messages.Announce) -> None:
+        """Tell linked nodes, and a few of each region without links."""
+        self.links.broadcast(news)
+        if self.links.is_full_mesh:
+            return
+        by_region: dict[RegionId, list[NodeId]] = {}
+        for peer in self.membership.others():
+            if peer.node not in self.links.kept:
+                by_region.setdefault(peer.region, []).append(peer.node)
+        for nodes in by_region.values():
+            count = min(RELAYS, len(nodes))
+            for node in self.random.sample(nodes, count):
+                self.links.send(node, news)
+
     def _remember_departure(self, earlier: Peer) -> None:
         """Keep an instance away that has said that it leaves.
 
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -162,10 +162,16 @@
         self.ingress.on_finished = decisions.finished
 
     def _build_links(self, settings: GatewaySettings) -> None:
-        self.links = Links(self.reactor, settings.node, self.log.process)
+        self.links = Links(
+            self.reactor,
+            settings.node,
+            settings.region,
+            self.log.process,
+        )
         self.ports.links = self.links
         self.presence = Presence(
             self.reactor,
+            self.random,
             self.membership,
             self.links,
             self.ingress,
--- a/packages/gateway/bilberryrail/gateway/switchboard.py
+++ b/packages/gateway/bilberryrail/gateway/switchboard.py
@@ -109,7 +109,9 @@
                 self.ports.ingress.load_reported(node, load)
             case messages.Ping():
                 link.send(messages.Pong(self.ports.target.load()))
-            case messages.Announce(peer=peer) | messages.Hello(peer=peer):
+            case messages.Announce(peer=peer):
+                self.presence.heard(link.peer, peer)
+            case messages.Hello(peer=peer):
                 self.presence.learn([peer])
             case messages.Nodes(peers=peers):
                 self.presence.learn(peers)
