Send to another region only to answer in time

Change: targets of this region first; another region only if this one cannot answer within the route's target latency and the other one can, its distance included.

--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -27,7 +27,11 @@
     Refusal,
 )
 from bilberryrail.forwarding.repeats import RepeatBudget
-from bilberryrail.forwarding.selection import CandidateBook, Choice
+from bilberryrail.forwarding.selection import (
+    CandidateBook,
+    Choice,
+    Demand,
+)
 from bilberryrail.forwarding.settings import ForwardingSettings
 
 #: Retry time when no target is known, in seconds.
@@ -210,9 +214,13 @@
         self._send(exchange, choice, now, is_repeat=is_repeat)
 
     def _choose(self, exchange: Exchange, now: Seconds) -> Choice | None:
-        return self.book.choose(
+        demand = Demand(
             exchange.service,
             exchange.route.home_regions,
+            _aim_left(exchange, now),
+        )
+        return self.book.choose(
+            demand,
             exchange.excluded,
             exchange.busy,
             now,
--- a/packages/forwarding/bilberryrail/forwarding/selection.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection.py
@@ -91,6 +91,23 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request needs of a target.
+
+    Attributes
+    ----------
+    home_regions
+        Regions that may serve it; empty allows every region.
+    aim_s
+        Time left in which an answer is worth most.
+    """
+
+    service: ServiceId
+    home_regions: tuple[RegionId, ...]
+    aim_s: float
+
+
 class CandidateBook:
     """Targets of all services, kept by node.
 
@@ -164,8 +181,7 @@
 
     def choose(
         self,
-        service: ServiceId,
-        home_regions: tuple[RegionId, ...],
+        demand: Demand,
         excluded: Collection[NodeId],
         busy: Collection[NodeId],
         now: Seconds,
@@ -182,23 +198,22 @@
         """
         usable = [
             candidate
-            for candidate in self._allowed(service, home_regions)
+            for candidate in self._allowed(demand)
             if candidate.peer.node not in excluded
         ]
         calm = [one for one in usable if one.avoid_until <= now]
-        scored = sorted(
-            (
-                (self._score(one, now), one)
-                for one in self._draw(calm or usable)
-            ),
-            key=lambda pair: pair[0],
-        )
-        if not scored:
+        near, far = self._by_distance(calm or usable)
+        ranked = self._rank(near, now)
+        if not ranked or ranked[0][0] > demand.aim_s:
+            ranked = self._nearer_or_faster(
+                ranked, self._rank(far, now), demand
+            )
+        if not ranked:
             return None
-        best_s, best = scored[0]
+        best_s, best = ranked[0]
         bound_s: float = 0
-        if len(scored) > 1 and best.peer.node not in busy:
-            bound_s = scored[1][0]
+        if len(ranked) > 1 and best.peer.node not in busy:
+            bound_s = ranked[1][0]
         return Choice(
             best,
             max(_LEAST_EXPECTED_S, best_s),
@@ -246,41 +261,58 @@
     def _distance_s(self, candidate: Candidate) -> float:
         placement = self.settings.placement
         if candidate.peer.region != self.settings.region:
-            return placement.region_penalty_s
+            return placement.region_distance_s
         if candidate.peer.zone != self.settings.zone:
             return placement.zone_penalty_s
         return 0
 
-    def _allowed(
-        self,
-        service: ServiceId,
-        home_regions: tuple[RegionId, ...],
-    ) -> Iterable[Candidate]:
-        for candidate in self.by_service.get(service, ()):
+    def _allowed(self, demand: Demand) -> Iterable[Candidate]:
+        homes = demand.home_regions
+        for candidate in self.by_service.get(demand.service, ()):
             peer = candidate.peer
-            if home_regions and peer.region not in home_regions:
+            if homes and peer.region not in homes:
                 continue
             if peer.zone not in self.zones_out:
                 yield candidate
 
-    def _draw(self, candidates: list[Candidate]) -> list[Candidate]:
-        """Draw a few candidates, those of this region first.
+    def _by_distance(
+        self,
+        candidates: list[Candidate],
+    ) -> tuple[list[Candidate], list[Candidate]]:
+        """Part candidates into those of this region and the others."""
+        region = self.settings.region
+        near = [one for one in candidates if one.peer.region == region]
+        far = [one for one in candidates if one.peer.region != region]
+        return near, far
 
-        Another region is looked at only beside a sample of this one, so that
-        the cost of a choice does not grow with the fleet.
-        """
+    def _rank(
+        self,
+        candidates: list[Candidate],
+        now: Seconds,
+    ) -> list[tuple[float, Candidate]]:
+        """Order a few candidates, drawn so that a choice costs the same."""
         draws = self.settings.placement.draws
-        if len(candidates) <= draws:
-            return candidates
-        region = self.settings.region
-        local = [one for one in candidates if one.peer.region == region]
-        remote = [one for one in candidates if one.peer.region != region]
-        drawn = self.random.sample(local, min(draws - 1, len(local)))
-        drawn += self.random.sample(
-            remote,
-            min(draws - len(drawn), len(remote)),
+        if len(candidates) > draws:
+            candidates = self.random.sample(candidates, draws)
+        return sorted(
+            ((self._score(one, now), one) for one in candidates),
+            key=_score_of,
         )
-        return drawn
+
+    def _nearer_or_faster(
+        self,
+        near: list[tuple[float, Candidate]],
+        far: list[tuple[float, Candidate]],
+        demand: Demand,
+    ) -> list[tuple[float, Candidate]]:
+        """Choose another region only if it answers in time and this one not.
+
+        The link between regions is narrow and paid by volume.
+        """
+        if not near:
+            return far
+        is_in_time = bool(far) and far[0][0] <= demand.aim_s
+        return far if is_in_time else near
 
     def _replace(self, candidate: Candidate, peer: Peer) -> None:
         if candidate.peer.instance != peer.instance:
@@ -304,3 +336,7 @@
     """Return how much longer an answer takes beside other requests."""
     waiting = max(0, occupied + 1 - limit)
     return 1 + _SHARED_HOST * min(1, occupied / limit) + waiting / limit
+
+
+def _score_of(scored: tuple[float, Candidate]) -> float:
+    return scored[0]
--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -14,9 +14,8 @@
     zone_penalty_s
         Extra time that a target in another availability zone counts for;
         traffic between zones is paid by volume.
-    region_penalty_s
-        The same for another region: a round trip of 60 ms, and a narrow link
-        that fills up when load moves over it.
+    region_distance_s
+        The same for another region: a round trip of 60 ms.
     draws
         Targets that are compared for one request.
     slowdown_memory_s
@@ -26,7 +25,7 @@
     """
 
     zone_penalty_s: float = 0.004
-    region_penalty_s: float = 0.4
+    region_distance_s: float = 0.06
     draws: int = 8
     slowdown_memory_s: float = 0.3
     avoid_s: float = 0.5
