Log what a decision without a target saw; rank by priority alone

Cause: "no-target" did not say how many targets were known or excluded, and no line named the configuration's version. Calls of backend servers had a rank of their own, but nothing tells them from clients' requests: a trial showed both with the host's own address, so the flag was always false. Change: event no_target with its inputs; version on each send; the flag is gone.

--- a/packages/forwarding/bilberryrail/forwarding/exchanges.py
+++ b/packages/forwarding/bilberryrail/forwarding/exchanges.py
@@ -5,7 +5,12 @@
 from typing import Any
 
 from bilberryrail.core.ids import AttemptId, NodeId, Seconds, ServiceId
-from bilberryrail.forwarding.records import HttpAnswer, HttpRequest, Route
+from bilberryrail.forwarding.records import (
+    ConfigVersion,
+    HttpAnswer,
+    HttpRequest,
+    Route,
+)
 from bilberryrail.forwarding.selection import Candidate, CandidateBook
 
 
@@ -26,6 +31,8 @@
 
     Attributes
     ----------
+    version
+        Configuration that the route was found in.
     excluded
         Nodes that cannot take the request, or have it.
     busy
@@ -40,7 +47,7 @@
     request_id: str
     route: Route
     service: ServiceId
-    is_nested: bool
+    version: ConfigVersion
     arrived_at: Seconds
     expires_at: Seconds
     respond: Callable[[HttpAnswer], None]
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -50,9 +50,6 @@
 #: Width of the random factor that spreads returning clients over time.
 _RETRY_SPREAD: Final = 0.5
 
-#: Rank of calls made by a running request; they go before new requests.
-NESTED_RANK: Final = 0
-
 #: Part of the remaining time that a second attempt needs at least.
 _HEDGE_SHARE: Final = 1.5
 
@@ -209,6 +206,14 @@
         now = self._now()
         choice = self._choose(exchange, now)
         if choice is None:
+            self.on_decision(
+                'no_target',
+                exchange,
+                version=exchange.version,
+                known=len(self.book.by_service.get(exchange.service, ())),
+                excluded=len(exchange.excluded),
+                zones_out=','.join(sorted(self.book.zones_out)),
+            )
             self._give_up(exchange, 'no-target')
             return
         self._send(exchange, choice, now, is_repeat=is_repeat)
@@ -249,6 +254,7 @@
             exchange,
             target=node,
             why=choice.reason,
+            version=exchange.version,
             repeat=is_repeat,
             expected_s=round(choice.expected_s, 4),
             report_age_s=round(now - choice.candidate.load_at, 3),
@@ -262,7 +268,7 @@
             remaining_s=max(0, exchange.expires_at - now),
             aim_s=_aim_left(exchange, now),
             bound_s=choice.bound_s * BOUND_FACTOR,
-            rank=_rank(exchange),
+            rank=exchange.route.priority,
             idempotent=exchange.route.idempotent,
             repeat=is_repeat,
         )
@@ -387,12 +393,6 @@
     return max(0, aim_at - now)
 
 
-def _rank(exchange: Exchange) -> int:
-    if exchange.is_nested:
-        return NESTED_RANK
-    return NESTED_RANK + 1 + exchange.route.priority
-
-
 def _ignore(event: str, exchange: Exchange, **fields: object) -> None:
     """Stand in for a log."""
 
--- a/packages/forwarding/bilberryrail/forwarding/work_queue.py
+++ b/packages/forwarding/bilberryrail/forwarding/work_queue.py
@@ -43,11 +43,7 @@
 
 
 class WorkQueue:
-    """Priority queue by rank, then by the time left.
-
-    A call that a running request makes has the lowest rank: if it is turned
-    away, the whole enclosing request is lost.
-    """
+    """Priority queue by rank, then by the time in which it is worth most."""
 
     def __init__(self) -> None:
         self.entries: list[tuple[int, float, int, Work]] = []
--- a/packages/gateway/bilberryrail/gateway/frontend.py
+++ b/packages/gateway/bilberryrail/gateway/frontend.py
@@ -82,7 +82,7 @@
             )
             self._refuse(request, HttpAnswer(_NOT_FOUND, is_own=True), respond)
             return None
-        exchange = self._exchange(request, route, client, respond)
+        exchange = self._exchange(request, route, respond)
         self.ingress.arrive(exchange)
         return lambda: self.ingress.abandon(exchange)
 
@@ -90,7 +90,6 @@
         self,
         request: HttpRequest,
         route: Route,
-        client: str,
         respond: Respond,
     ) -> Exchange:
         now = Seconds(self.clock.seconds())
@@ -103,7 +102,7 @@
             request_id=terms.request_id,
             route=route,
             service=self.splits.choose(route),
-            is_nested=self._is_nested(client),
+            version=self.operators.config.version,
             arrived_at=now,
             expires_at=Seconds(now + left_s),
             respond=lambda answer: respond(
@@ -111,9 +110,6 @@
             ),
         )
 
-    def _is_nested(self, client: str) -> bool:
-        return False
-
     def _completed(self, answer: HttpAnswer, request_id: str) -> HttpAnswer:
         if answer.is_own:
             own = self.dialect.own_headers(request_id)
