Mend five faults that a reading of the gateway found

Cause: (1) two calls on one channel mixed up their answers, and the first never ended; (2) a node whose first announcement failed and was replaced never stored one; (3) a backend server that starts again under the id that it had when it left stayed out if its node had restarted; (4) a paused node, which accepts connections and says no Hello, was not avoided; (5) nodes compared changes by a sum that falls when a node restarts. Change: one call at a time on a channel; announce until kept; the start of the backend server stands in the announcement; a link without Hello makes the node unreachable; later starts outweigh changes.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -97,9 +97,13 @@
             self.cold.turned_cold(beat.cold_s, now)
         return True
 
-    def left(self, instance: InstanceId) -> None:
-        """Give an instance no new requests: it has said that it leaves."""
-        born_ms = self.born_ms if instance == self.instance else 0
+    def left(self, instance: InstanceId, born_ms: int = 0) -> None:
+        """Give an instance no new requests: it has said that it leaves.
+
+        ``born_ms`` tells its starts apart, if it is known.
+        """
+        if instance == self.instance:
+            born_ms = self.born_ms
         self.gone[instance] = max(born_ms, self.gone.get(instance, 0))
         while len(self.gone) > _MOST_GONE:
             self.gone.pop(next(iter(self.gone)))
--- a/packages/forwarding/bilberryrail/forwarding/backend_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend_test.py
@@ -75,6 +75,18 @@
     assert not backend.is_usable(NOW)
 
 
+def test_restart_of_a_departed_instance_is_used():
+    # Guards against a backend server that is kept out for ever because it
+    # starts again under the id that it had when it left.
+    backend = Backend(AdmissionSettings())
+    backend.rules = RULES
+    backend.left(InstanceId('i1'), 100)
+    backend.heard(beat(born=100), NOW)
+    assert not backend.is_usable(NOW)
+    backend.heard(beat(born=200, seq=0), NOW)
+    assert backend.is_usable(NOW)
+
+
 def test_health_check_names_the_instance_before_its_heartbeat():
     # Guards against a restarted node that waits for the next heartbeat.
     backend = Backend(AdmissionSettings())
--- a/packages/forwarding/bilberryrail/forwarding/membership.py
+++ b/packages/forwarding/bilberryrail/forwarding/membership.py
@@ -1,10 +1,17 @@
 """Nodes that this node knows of."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from bilberryrail.core.ids import NodeId
 from bilberryrail.forwarding.records import Peer
 
+_MS_PER_S: Final = 1000
+
+#: Changes of one start that are told apart when two nodes compare what they
+#: know; a later start outweighs them.
+_MOST_CHANGES: Final = 1000
+
 
 class Membership:
     """The newest announcement of each node.
@@ -42,8 +49,12 @@
 
     @property
     def news(self) -> int:
-        """Changes of nodes that are known, to compare with other nodes."""
-        return sum(peer.serial + 1 for peer in self.peers.values())
+        """Sum of starts and changes of nodes, to compare with other nodes."""
+        return sum(
+            peer.started_ms // _MS_PER_S * _MOST_CHANGES
+            + min(peer.serial + 1, _MOST_CHANGES - 1)
+            for peer in self.peers.values()
+        )
 
     def all(self) -> list[Peer]:
         """Return every known node, this one and those that left included."""
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -125,6 +125,8 @@
         Grows with each change within an incarnation.
     instance
         Backend server beside the node; empty if there is none.
+    born_ms
+        Unix time of the backend server's start in milliseconds, if known.
     """
 
     node: NodeId
@@ -139,6 +141,7 @@
     instance: InstanceId
     phase: BackendPhase
     leaving: bool = False
+    born_ms: int = 0
 
     def is_newer_than(self, other: 'Peer') -> bool:
         """Tell whether this announcement replaces another of the node."""
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/control_test.py
@@ -0,0 +1,165 @@
+"""Tests of heartbeats, departures and the question whether it is ready."""
+
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from bilberryrail.core.ids import ServiceId
+from bilberryrail.forwarding.backend import Backend
+from bilberryrail.forwarding.fixtures_test import BOARD, RULES, SETTINGS
+from bilberryrail.forwarding.load_report import Heartbeat
+from bilberryrail.forwarding.operators import ConfigRecord, OperatorState
+from bilberryrail.forwarding.records import (
+    BackendPhase,
+    ConfigVersion,
+    HttpRequest,
+    InstanceId,
+    TrafficConfig,
+)
+from bilberryrail.gateway.control import (
+    DEPARTURE_WAIT_S,
+    ControlService,
+    ReadyService,
+)
+from bilberryrail.gateway.dialect import Departure
+from bilberryrail.gateway.http_server_test import ignore
+
+ADDRESS = '10.0.0.1:80'
+REQUEST = HttpRequest(b'PUT', b'/i1', (), b'')
+
+
+class FakeDialect:
+    """Gives the announcement that the test has set."""
+
+    def __init__(self):
+        self.found = None
+
+    def announcement(self, request):
+        return self.found
+
+    def is_ready_question(self, request):
+        return request.target == b'/ready'
+
+
+class FakeOwner:
+    """The process, as the services see it."""
+
+    def __init__(self):
+        self.reactor = Clock()
+        self.reactor.advance(10)
+        self.dialect = FakeDialect()
+        self.backend = Backend(SETTINGS.admission)
+        self.backend.rules = RULES
+        self.operators = OperatorState()
+        self.settings = SimpleNamespace(backend=ADDRESS)
+        self.log = SimpleNamespace(process=ignore)
+        self.is_ready = False
+        self.stored = None
+
+    def backend_changed(self):
+        return self.stored
+
+    def announce(self, found):
+        self.dialect.found = found
+        answers = []
+        ControlService(self).serve(REQUEST, '', answers.append)
+        return [int(answer.status) for answer in answers]
+
+
+@pytest.fixture
+def owner():
+    return FakeOwner()
+
+
+def beat(**fields):
+    terms = {
+        'instance': InstanceId('i1'),
+        'service': BOARD,
+        'address': ADDRESS,
+        'phase': BackendPhase.READY,
+        'slots': 10,
+        'born_ms': 100,
+        'sequence': 1,
+    }
+    return Heartbeat(**(terms | fields))
+
+
+def test_heartbeat_is_acknowledged_and_used(owner):
+    # Guards against a backend server that looks for another node.
+    assert owner.announce(beat()) == [200]
+    assert owner.backend.is_usable(10)
+
+
+def test_old_heartbeat_is_acknowledged_and_not_used(owner):
+    # Guards against repeats of a heartbeat that will never be news.
+    owner.announce(beat(born_ms=200))
+    assert owner.announce(beat(instance=InstanceId('i0'))) == [200]
+    assert owner.backend.instance == 'i1'
+
+
+def test_heartbeat_of_another_address_names_nobody(owner):
+    # Guards against a stranger that takes over this node's backend server.
+    assert owner.announce(beat(address='10.0.0.2:80')) == [400]
+    assert owner.backend.instance is None
+
+
+def test_heartbeat_of_an_unknown_service_names_nobody(owner):
+    # Guards against requests for a service that operators do not know.
+    config = TrafficConfig(ConfigVersion(1), (), {BOARD: RULES})
+    owner.operators.apply(ConfigRecord(1, config))
+    stranger = beat(service=ServiceId('stranger'))
+    assert owner.announce(stranger) == [400]
+    assert owner.announce(beat()) == [200]
+
+
+def test_unreadable_announcement_changes_nothing(owner):
+    # Guards against bytes that take a backend server out.
+    owner.announce(beat())
+    assert owner.announce(None) == [400]
+    assert owner.backend.is_usable(10)
+
+
+def test_departure_binds_before_it_is_acknowledged(owner):
+    # Guards against new work after the acknowledgement.
+    owner.announce(beat())
+    owner.stored = Deferred()
+    assert not owner.announce(Departure(InstanceId('i1')))
+    assert not owner.backend.is_usable(10)
+
+
+def test_departure_is_acknowledged_when_it_is_kept(owner):
+    # Guards against an acknowledgement that a restart forgets.
+    owner.stored = Deferred()
+    owner.dialect.found = Departure(InstanceId('i1'))
+    answers = []
+    ControlService(owner).serve(REQUEST, '', answers.append)
+    owner.stored.callback(True)
+    owner.reactor.advance(DEPARTURE_WAIT_S * 2)
+    assert len(answers) == 1
+
+
+def test_departure_is_acknowledged_without_the_store(owner):
+    # Guards against backend servers that wait for ever while the store is
+    # away.
+    owner.stored = Deferred()
+    owner.dialect.found = Departure(InstanceId('i1'))
+    answers = []
+    ControlService(owner).serve(REQUEST, '', answers.append)
+    owner.reactor.advance(DEPARTURE_WAIT_S)
+    owner.stored.callback(True)
+    assert len(answers) == 1
+
+
+@pytest.mark.parametrize(
+    ('is_ready', 'target', 'status'),
+    [(True, b'/ready', 200), (False, b'/ready', 503), (True, b'/x', 404)],
+)
+def test_ready(owner, is_ready, target, status):
+    # Guards against clients at a node that knows no configuration.
+    owner.is_ready = is_ready
+    answers = []
+    question = HttpRequest(b'GET', target, (), b'')
+    ReadyService(owner).serve(question, '', answers.append)
+    assert [int(answer.status) for answer in answers] == [status]
--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -35,8 +35,6 @@
 
     Attributes
     ----------
-    heard_at
-        When the store last answered a call about operators.
     is_reachable
         Whether the newest call was answered.
     """
@@ -58,12 +56,10 @@
         self.membership = membership
         self.metrics = metrics
         self.log = log
-        self.heard_at = -1.0
         self.is_reachable = True
         self.is_stopped = False
         self.on_operators: Callable[[], None] = _ignore
         self.on_peers: Callable[[list[Any]], None] = _ignore
-        self._announcing = False
 
     def start(self) -> None:
         """Announce this node, then follow operators and nodes."""
@@ -77,15 +73,14 @@
     def announce(self) -> 'Deferred[bool]':
         """Store this node's newest announcement.
 
-        Fires when it is kept, with false if a later one took its place.
+        Fires when it is kept, with false if the process stops before.
         """
         return ensureDeferred(self._announce())
 
     async def _announce(self) -> bool:
-        peer = self.membership.own
-        while peer is self.membership.own and not self.is_stopped:
+        while not self.is_stopped:
             try:
-                await self.store.announce(peer)
+                await self.store.announce(self.membership.own)
             except StoreError as error:
                 self._failed('announce', error)
                 await self._pause(ANNOUNCE_RETRY_S)
@@ -113,7 +108,6 @@
     async def _read_state(self) -> None:
         snapshot = await self.store.operator_state()
         self._answered('operator-state')
-        self._heard()
         if self.operators.replace(snapshot):
             self.on_operators()
 
@@ -123,7 +117,6 @@
             POLL_WAIT_S,
         )
         self._answered('operator-records')
-        self._heard()
         changed = [self.operators.apply(record) for record in found.records]
         if any(changed):
             self.on_operators()
@@ -143,9 +136,6 @@
             self.on_peers(list(peers))
             await self._pause(MEMBERS_INTERVAL_S)
 
-    def _heard(self) -> None:
-        self.heard_at = self.reactor.seconds()
-
     def _answered(self, kind: str) -> None:
         self.metrics.called_store(kind, 'answered')
         if not self.is_reachable:
--- a/packages/gateway/bilberryrail/gateway/http_channel.py
+++ b/packages/gateway/bilberryrail/gateway/http_channel.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, DeferredLock, ensureDeferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import ClientFactory, Protocol
 
@@ -140,6 +140,7 @@
         self.host = host
         self.port = port
         self.connect_timeout_s = connect_timeout_s
+        self.lock = DeferredLock()
         self.connection: ChannelConnection | None = None
 
     async def ask(
@@ -150,10 +151,25 @@
         body: bytes,
         timeout_s: float,
     ) -> RawAnswer:
-        """Send a request and wait for its answer.
+        """Send a request when earlier ones have ended; wait for its answer.
 
         Raises ``ChannelError`` if there is no whole answer in time.
         """
+        await self.lock.acquire()
+        asking = ensureDeferred(
+            self._ask(method, target, headers, body, timeout_s),
+        )
+        asking.addBoth(self._released)
+        return await asking
+
+    async def _ask(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: tuple[Header, ...],
+        body: bytes,
+        timeout_s: float,
+    ) -> RawAnswer:
         if find_header(headers, b'host') is None:
             host = b'%b:%d' % (self.host.encode(), self.port)
             headers = ((b'Host', host), *headers)
@@ -183,6 +199,10 @@
         if self.connection is not None:
             self.connection.fail('closed')
 
+    def _released(self, passed: Any) -> Any:
+        self.lock.release()
+        return passed
+
     def _open(self) -> ChannelConnection:
         connection = ChannelConnection(self)
         self.connection = connection
--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -420,6 +420,8 @@
         if was_used:
             self.log('link_lost', peer=link.expected, reason=reason)
             self.events.closed(link)
+        else:
+            self.events.unreachable(link.expected)
         self._release_held(link.expected, outgoing)
         self._retry_later(link.expected, outgoing)
 
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -11,7 +11,11 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.fixtures_test import forward, peer
 from bilberryrail.gateway.http_server_test import FakeTransport, ignore
-from bilberryrail.gateway.links import LOST_AFTER_S, Links
+from bilberryrail.gateway.links import (
+    HELLO_TIMEOUT_S,
+    LOST_AFTER_S,
+    Links,
+)
 
 LOST = Failure(ConnectionLost())
 
@@ -147,6 +151,18 @@
     assert ('unreachable', 'n2') in bench.events.log
 
 
+def test_node_that_says_no_hello_is_avoided(bench):
+    # Guards against requests for a paused node, whose kernel still accepts
+    # connections.
+    bench.links.follow([peer('n2')])
+    link = bench.reactor.dialled[-1][1].buildProtocol(None)
+    link.makeConnection(FakeTransport())
+    bench.reactor.advance(HELLO_TIMEOUT_S)
+    assert link.transport.disconnecting
+    link.connectionLost(LOST)
+    assert ('unreachable', 'n2') in bench.events.log
+
+
 def test_failed_link_is_opened_again(bench):
     # Guards against a node that is out of touch until it restarts.
     bench.links.follow([peer('n2')])
--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -173,6 +173,7 @@
                 instance=instance,
                 phase=phase,
                 leaving=self.is_leaving,
+                born_ms=self.backend.born_ms,
             ),
         )
         self._spread(messages.Announce(self.membership.own))
@@ -201,5 +202,5 @@
         is_earlier = earlier.incarnation != own.incarnation
         is_draining = earlier.phase is BackendPhase.DRAINING
         if is_earlier and is_draining and not earlier.leaving:
-            self.backend.left(earlier.instance)
+            self.backend.left(earlier.instance, earlier.born_ms)
             self.refresh()
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/shutdown_test.py
@@ -0,0 +1,104 @@
+"""Tests of the order in which a process ends."""
+
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.task import Clock
+
+from bilberryrail.gateway.http_server_test import ignore
+from bilberryrail.gateway.shutdown import LEAST_SERVING_S, Shutdown
+
+GRACE_S = 6.0
+
+
+class Bench:
+    """A shutdown of a process that the test makes busy or idle."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.closed = []
+        self.stopped = []
+        self.changes = 0
+        room = SimpleNamespace(leaving=False)
+        self.process = SimpleNamespace(
+            reactor=self.clock,
+            log=SimpleNamespace(process=ignore),
+            settings=SimpleNamespace(
+                lifecycle=SimpleNamespace(grace_s=GRACE_S),
+            ),
+            target=SimpleNamespace(
+                room=room,
+                idle=True,
+                by_number={},
+                changed=ignore,
+            ),
+            ingress=SimpleNamespace(idle=True, exchanges=set()),
+            presence=SimpleNamespace(is_leaving=False),
+            backend_changed=self.changed,
+            membership=SimpleNamespace(own=None),
+            follower=SimpleNamespace(announce=ignore, stop=ignore),
+            client_server=SimpleNamespace(
+                is_closing=False,
+                start_closing=lambda: self.closed.append(self.now()),
+            ),
+            frontend=SimpleNamespace(is_refusing=False),
+            links=SimpleNamespace(close=ignore),
+        )
+        self.shutdown = Shutdown(
+            self.process,
+            lambda: self.stopped.append(self.now()),
+        )
+
+    def changed(self):
+        self.changes += 1
+
+    def now(self):
+        return self.clock.seconds()
+
+    def wait(self, seconds):
+        for _ in range(int(seconds / 0.05)):
+            self.clock.advance(0.05)
+
+
+@pytest.fixture
+def bench():
+    found = Bench()
+    found.shutdown.begin()
+    return found
+
+
+def test_target_leaves_at_once_and_clients_are_served(bench):
+    # Guards against new work at a node that ends, and against cutting clients
+    # that have not heard of it yet.
+    assert bench.process.target.room.leaving
+    assert bench.process.presence.is_leaving
+    assert bench.changes == 1
+    assert bench.process.client_server.is_closing
+    bench.wait(LEAST_SERVING_S - 0.1)
+    assert not bench.closed
+    assert not bench.stopped
+    assert not bench.process.frontend.is_refusing
+
+
+def test_idle_process_ends_before_its_grace(bench):
+    # Guards against a process that is killed although it has nothing to do.
+    bench.wait(GRACE_S - 1)
+    assert bench.stopped
+    assert bench.stopped[0] < GRACE_S - 1
+
+
+def test_busy_process_serves_until_the_end_of_its_grace(bench):
+    # Guards against a shutdown that cuts a request under way.
+    bench.process.ingress.idle = False
+    bench.wait(GRACE_S - 0.5)
+    assert not bench.stopped
+    assert bench.process.frontend.is_refusing
+    bench.wait(0.5)
+    assert bench.stopped
+
+
+def test_second_signal_changes_nothing(bench):
+    # Guards against a grace that begins again.
+    bench.wait(2)
+    bench.shutdown.begin()
+    assert bench.changes == 1
