--- a/packages/gateway/bilberryrail/gateway/http_channel.py
+++ b/packages/gateway/bilberryrail/gateway/http_channel.py
@@ -162,6 +162,16 @@
         asking.addBoth(self._released)
         return await asking
 
+    def lost(self, connection: ChannelConnection) -> None:
+        """Forget a connection that has ended."""
+        if self.connection is connection:
+            self.connection = None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self.connection is not None:
+            self.connection.fail('closed')
+
     async def _ask(
         self,
         method: bytes,
@@ -189,16 +199,6 @@
         waiting.addBoth(_stopping(timer))
         return await waiting
 
-    def lost(self, connection: ChannelConnection) -> None:
-        """Forget a connection that has ended."""
-        if self.connection is connection:
-            self.connection = None
-
-    def close(self) -> None:
-        """Close the connection."""
-        if self.connection is not None:
-            self.connection.fail('closed')
-
     def _released(self, passed: Any) -> Any:
         self.lock.release()
         return passed
