--- a/packages/soak/bilberryrail/soak/faults.py
+++ b/packages/soak/bilberryrail/soak/faults.py
@@ -1,6 +1,7 @@
 """Draws faults and applies them; they come in series and overlap."""
 
 import signal
+import time
 from collections.abc import Callable
 from random import Random
 from typing import Any, Final
@@ -17,6 +18,9 @@
 #: Time for which a backend server serves on after it says that it leaves.
 LEAVING_S: Final = 4.0
 
+#: Time that the interpreter needs to reach the program on a busy machine.
+INTERPRETER_S: Final = 0.2
+
 _SHORTEST_S: Final = 0.3
 _SLOW_FACTOR: Final = 8
 _COLD_S: Final = 3.0
@@ -83,7 +87,11 @@
 
     def reload_node(self, host: str, length_s: float) -> None:
         """Ask a process to read its settings again."""
-        self.fleet.nodes[host].send(signal.SIGHUP)
+        node = self.fleet.nodes[host]
+        # The interpreter needs some time until the program can handle or
+        # ignore a signal; the platform restarts a process that ends then.
+        if time.monotonic() - node.started_at > INTERPRETER_S:
+            node.send(signal.SIGHUP)
 
     def harm_links(self, host: str, length_s: float) -> None:
         """Harm the links that others have opened to a node."""
--- a/packages/soak/bilberryrail/soak/fleet.py
+++ b/packages/soak/bilberryrail/soak/fleet.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 from random import Random
 from typing import Any, Final
@@ -32,8 +33,8 @@
 
     Attributes
     ----------
-    exit_codes
-        Exit codes of earlier runs that ended by themselves or on SIGTERM.
+    started_at
+        When the process was started last, on the monotonic clock.
     """
 
     def __init__(self, host: topology.Host, folder: Path) -> None:
@@ -42,6 +43,7 @@
         self.settings.write_text(json.dumps(host.settings()))
         self.output = folder / f'{host.name}.log'
         self.child: subprocess.Popen[bytes] | None = None
+        self.started_at: float = 0
 
     @property
     def is_running(self) -> bool:
@@ -52,6 +54,7 @@
         """Start the process unless it runs."""
         if self.is_running:
             return
+        self.started_at = time.monotonic()
         with self.output.open('ab') as output:
             self.child = subprocess.Popen(
                 [sys.executable, '-m', 'bilberryrail.adapter.main'],
--- a/packages/soak/bilberryrail/soak/run.py
+++ b/packages/soak/bilberryrail/soak/run.py
@@ -75,6 +75,8 @@
         self.fleet = Fleet(
             reactor, self.random, hosts, settings.seed, self.folder
         )
+        # A soak that is interrupted ends its processes too.
+        reactor.addSystemEventTrigger('before', 'shutdown', self.fleet.stop)
         self.driver = FaultDriver(reactor, self.random, self.fleet)
         self.started_at: float = 0
 
