Ask a target again that had no room; split a link from the links

Cause (found by reading): a target that once reported no room, or whose link was lost, counted as full until it sent another report. It sends one only to nodes that have used it within 2 s, so a node of another zone never came back to it. Outcomes that a node makes up itself carried an empty load, which looked like "no room". Change: "no room" counts for 0.5 s; own outcomes carry no load; an opened link forgets the old report. Figures: test_closed_target_is_tried_again fails before and passes after; the other new test guards the second half and could not fail on the old signature.

--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -115,7 +115,7 @@
     def refused(self, node: NodeId, reply: Refused) -> None:
         """Try another target: this one has not run the request."""
         now = self._now()
-        self.book.reported(node, reply.load, now)
+        self.load_reported(node, reply.load)
         attempt = self.attempts.end(node, reply.attempt)
         if reply.reason in {Refusal.LINK_DOWN, Refusal.CONNECT_FAILED}:
             self.book.avoid(node, now)
@@ -145,7 +145,7 @@
 
     def answered(self, node: NodeId, reply: Answered) -> None:
         """Give the client its answer, or replace an error if possible."""
-        self.book.reported(node, reply.load, self._now())
+        self.load_reported(node, reply.load)
         attempt = self.attempts.end(node, reply.attempt)
         if attempt is None:
             return
@@ -165,7 +165,7 @@
     def failed(self, node: NodeId, reply: Failed) -> None:
         """Repeat an idempotent request, or say that its end is unknown."""
         now = self._now()
-        self.book.reported(node, reply.load, now)
+        self.load_reported(node, reply.load)
         if reply.reason is Failure.LINK_LOST:
             self.book.avoid(node, now)
         attempt = self.attempts.end(node, reply.attempt)
@@ -191,12 +191,13 @@
     def link_lost(self, node: NodeId) -> None:
         """Treat all requests at a node that is out of reach as failed."""
         for attempt in self.attempts.at(node):
-            failure = Failed(attempt.attempt, Failure.LINK_LOST, BackendLoad())
+            failure = Failed(attempt.attempt, Failure.LINK_LOST, None)
             self.failed(node, failure)
 
-    def load_reported(self, node: NodeId, load: BackendLoad) -> None:
-        """Take a load report."""
-        self.book.reported(node, load, self._now())
+    def load_reported(self, node: NodeId, load: BackendLoad | None) -> None:
+        """Take a load report; outcomes that this node makes up have none."""
+        if load is not None:
+            self.book.reported(node, load, self._now())
 
     def _now(self) -> Seconds:
         return Seconds(self.clock.seconds())
@@ -295,7 +296,7 @@
             return
         now = self._now()
         choice = self._choose(exchange, now)
-        if choice is None or choice.candidate.is_closed:
+        if choice is None or choice.candidate.is_closed(now):
             return
         exchange.reached.update(
             attempt.node for attempt in exchange.attempts.values()
--- a/packages/forwarding/bilberryrail/forwarding/ingress_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress_test.py
@@ -93,7 +93,8 @@
 
     def refuse(self, reason=Refusal.NO_BACKEND):
         node, attempt = self.last()
-        self.ingress.refused(node, Refused(attempt, reason, 0.1, LOAD))
+        load = None if reason is Refusal.LINK_DOWN else LOAD
+        self.ingress.refused(node, Refused(attempt, reason, 0.1, load))
         return node
 
     def fail(self, reason=Failure.RESET):
@@ -163,6 +164,20 @@
     assert bench.statuses() == [HTTPStatus.BAD_GATEWAY]
 
 
+def test_lost_link_says_nothing_about_the_load(bench):
+    # Guards against a target that counts as full for ever because a refusal
+    # that this node made up carried an empty load.
+    book = bench.ingress.book
+    for node in 'abc':
+        book.reported(NodeId(node), LOAD, Seconds(100))
+    bench.arrive()
+    refused = bench.refuse(Refusal.LINK_DOWN)
+    lost = bench.last()[0]
+    bench.ingress.link_lost(lost)
+    assert book.candidates[refused].load is LOAD
+    assert book.candidates[lost].load is LOAD
+
+
 def test_unsent_request_is_not_run(bench):
     # Guards against losing a booking whose link was never open.
     bench.arrive(idempotent=False)
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -90,7 +90,7 @@
     attempt: AttemptId
     reason: Refusal
     retry_after_s: float
-    load: BackendLoad
+    load: BackendLoad | None
 
 
 class Failed(msgspec.Struct, array_like=True, tag=6):
@@ -98,7 +98,7 @@
 
     attempt: AttemptId
     reason: Failure
-    load: BackendLoad
+    load: BackendLoad | None
 
 
 class Load(msgspec.Struct, array_like=True, tag=7):
--- a/packages/forwarding/bilberryrail/forwarding/selection.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection.py
@@ -43,6 +43,10 @@
 #: Shortest time to an answer that is expected, in seconds.
 _LEAST_EXPECTED_S: Final = 0.001
 
+#: Time for which a report that a target takes nothing keeps requests away. It
+#: refuses at once if that is still so.
+CLOSED_MEMORY_S: Final = 0.5
+
 #: Score of a target that has no room at all.
 _NO_ROOM_S: Final = 10.0
 
@@ -69,10 +73,10 @@
     in_flight: int = 0
     avoid_until: Seconds = Seconds(-math.inf)
 
-    @property
-    def is_closed(self) -> bool:
-        """Whether it has reported that it takes nothing now."""
-        return self.load_at > -math.inf and not self.load.limit
+    def is_closed(self, now: Seconds) -> bool:
+        """Tell whether it has just reported that it takes nothing."""
+        is_fresh = now - self.load_at < CLOSED_MEMORY_S
+        return is_fresh and not self.load.limit
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,6 +172,7 @@
         candidate = self.candidates.get(node)
         if candidate is not None:
             candidate.avoid_until = Seconds(-math.inf)
+            candidate.load_at = Seconds(-math.inf)
 
     def avoid(self, node: NodeId, now: Seconds) -> None:
         """Avoid a target for a while."""
@@ -254,7 +259,7 @@
 
     def _score(self, candidate: Candidate, now: Seconds) -> float:
         score = self.expected_s(candidate, now) + self._distance_s(candidate)
-        if candidate.is_closed:
+        if candidate.is_closed(now):
             score += _NO_ROOM_S
         return score * (1 + _SPREAD * (self.random.random() - 1 / 2))
 
--- a/packages/forwarding/bilberryrail/forwarding/selection_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection_test.py
@@ -73,6 +73,16 @@
     assert shares(book) == {'b': 100}
 
 
+def test_closed_target_is_tried_again(book):
+    # Guards against a target that once had no room and that nobody asks again:
+    # it tells only those that use it when it is back.
+    book.reported(NodeId('a'), load(limit=0), NOW)
+    book.reported(NodeId('b'), load(), NOW)
+    assert shares(book) == {'b': 100}
+    later = Seconds(NOW + 2)
+    assert shares(book, now=later).get('a', 0) > 10
+
+
 def test_failing_target_is_avoided(book):
     # Guards against a target that looks fast because it fails fast.
     book.reported(NodeId('a'), load(service_s=0.01, error_share=0.5), NOW)
--- a/packages/gateway/bilberryrail/gateway/gossip.py
+++ b/packages/gateway/bilberryrail/gateway/gossip.py
@@ -9,7 +9,8 @@
 from bilberryrail.forwarding.operators import OperatorState
 from bilberryrail.forwarding.records import BackendLoad
 from bilberryrail.forwarding.target import Target
-from bilberryrail.gateway.links import Link, Links
+from bilberryrail.gateway.link import Link
+from bilberryrail.gateway.links import Links
 
 #: Interval at which a changed load is sent to nodes that use this target.
 LOAD_INTERVAL_S: Final = 0.1
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -11,11 +11,8 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.fixtures_test import forward, peer
 from bilberryrail.gateway.http_server_test import FakeTransport, ignore
-from bilberryrail.gateway.links import (
-    HELLO_TIMEOUT_S,
-    LOST_AFTER_S,
-    Links,
-)
+from bilberryrail.gateway.link import HELLO_TIMEOUT_S, LOST_AFTER_S
+from bilberryrail.gateway.links import Links
 
 LOST = Failure(ConnectionLost())
 
--- a/packages/gateway/bilberryrail/gateway/switchboard.py
+++ b/packages/gateway/bilberryrail/gateway/switchboard.py
@@ -7,7 +7,6 @@
 from bilberryrail.forwarding.ingress import Ingress
 from bilberryrail.forwarding.operators import OperatorState
 from bilberryrail.forwarding.records import (
-    BackendLoad,
     InstanceId,
     Refusal,
 )
@@ -15,7 +14,8 @@
 from bilberryrail.forwarding.work_queue import Work
 from bilberryrail.gateway.backend_pool import BackendPool
 from bilberryrail.gateway.gossip import Gossip
-from bilberryrail.gateway.links import Link, Links
+from bilberryrail.gateway.link import Link
+from bilberryrail.gateway.links import Links
 from bilberryrail.gateway.presence import Presence
 
 
@@ -157,6 +157,6 @@
                 message.attempt,
                 Refusal.LINK_DOWN,
                 0,
-                BackendLoad(),
+                None,
             )
             self.ports.ingress.refused(node, refusal)
