Tell the zone about a change; ask the region while the store is away

The store turned a third of the nodes away (platform_down nodes busy); a node learned only from one random neighbour of its zone a second, and these were turned away too. Change: 0.4 s after a change a node tells its whole zone and one node of each other zone; a node that the store turns away asks any node of its region every 0.4 s.

--- a/packages/gateway/bilberryrail/gateway/gossip.py
+++ b/packages/gateway/bilberryrail/gateway/gossip.py
@@ -1,9 +1,10 @@
 """What nodes tell each other unasked: load, and what operators want."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any, Final
 
-from bilberryrail.core.ids import NodeId
+from bilberryrail.core.ids import AvailabilityZoneId, NodeId
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.operators import OperatorState
@@ -26,6 +27,13 @@
 #: node knows.
 PROGRESS_INTERVAL_S: Final = 1.0
 
+#: The same for a node that the store turns away; any zone may help it.
+ALONE_INTERVAL_S: Final = 0.4
+
+#: Time after a change of the operators' state in which the store tells the
+#: other nodes itself.
+CHANGE_DELAY_S: Final = 0.4
+
 #: Shortest time between two questions for the operators' state.
 ASK_INTERVAL_S: Final = 0.3
 
@@ -38,6 +46,11 @@
 
     The store tells every node what operators want. Nodes that the store turns
     away hear it from others here.
+
+    Attributes
+    ----------
+    is_store_up
+        Tells whether the store answers this node.
     """
 
     def __init__(
@@ -57,6 +70,8 @@
         self.target = target
         self.pushed = BackendLoad()
         self.started_at = reactor.seconds()
+        self.is_store_up: Callable[[], bool] = bool
+        self._has_news = False
         self._asked_at = 0
         self._sent_at: dict[NodeId, float] = {}
 
@@ -66,6 +81,12 @@
         self._push_load()
         self._push_progress()
 
+    def changed(self) -> None:
+        """Tell others soon that the operators' state has changed."""
+        if not self._has_news:
+            self._has_news = True
+            self.reactor.callLater(CHANGE_DELAY_S, self._push_change)
+
     def heard(self, node: NodeId, progress: messages.Progress) -> None:
         """Help a node that knows less; ask one that knows more."""
         own = self._progress()
@@ -102,14 +123,32 @@
         if progress.news < self.membership.news:
             self.links.tell(node, messages.Nodes(self.membership.all()))
 
+    def _push_change(self) -> None:
+        """Tell the whole zone, and one node of each other zone."""
+        self._has_news = False
+        own = self.membership.own
+        by_zone: dict[AvailabilityZoneId, list[NodeId]] = {}
+        for peer in self.membership.others():
+            by_zone.setdefault(peer.zone, []).append(peer.node)
+        for zone, nodes in by_zone.items():
+            told = nodes if zone == own.zone else [self.random.choice(nodes)]
+            for node in told:
+                self.links.tell(node, self._progress())
+
     def _push_progress(self) -> None:
-        self.reactor.callLater(PROGRESS_INTERVAL_S, self._push_progress)
-        node = self._neighbour()
+        is_store_up = self.is_store_up()
+        interval_s = PROGRESS_INTERVAL_S if is_store_up else ALONE_INTERVAL_S
+        self.reactor.callLater(interval_s, self._push_progress)
+        node = self._neighbour(is_near=is_store_up)
         if node is not None:
             self.links.tell(node, self._progress())
 
-    def _neighbour(self) -> NodeId | None:
-        """Draw a linked node, of this zone or at least of this region."""
+    def _neighbour(self, *, is_near: bool) -> NodeId | None:
+        """Draw a linked node of this region, of this zone if there is one.
+
+        A node that the store turns away asks all zones: those of its own may
+        be turned away too.
+        """
         own = self.membership.own
         peers = [
             peer
@@ -117,7 +156,7 @@
             if peer.region == own.region and self.links.is_up(peer.node)
         ]
         near = [peer for peer in peers if peer.zone == own.zone]
-        drawn = near or peers
+        drawn = near if near and is_near else peers
         if not drawn:
             return None
         return self.random.choice(drawn).node
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -86,6 +86,7 @@
         self.follower.on_operators = self._operators_changed
         self.follower.on_peers = self.presence.learn
         self.presence.store = self.follower.announce
+        self.gossip.is_store_up = lambda: self.follower.is_reachable
         self.shutdown = Shutdown(self, on_stopped)
 
     @property
@@ -248,6 +249,7 @@
             version=config.version if config else None,
             zones_out=','.join(sorted(zones_out)),
         )
+        self.gossip.changed()
         self.target.changed()
 
     def _update_rules(self) -> None:
