Build the deployed tree apart and swap it in by a rename

Change: the tree is built beside the old one and renamed into its place; a fingerprint of the sources leaves an unchanged tree alone.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,15 +1,39 @@
 # Installs the node and what it needs into target/deps.
+#
+# A tree is built apart and then takes the old one's place by a rename; an
+# unchanged tree is left alone, as running nodes import from it.
 set -eu
-if [ ! -e target/deps/.installed ] || ! cmp -s deploy/requirements.txt target/deps/.installed; then
-  rm -rf target/deps
+sources="packages/core packages/policy packages/control packages/forwarding packages/gateway platform"
+fingerprint=$(
+  find $sources deploy/build.sh deploy/requirements.txt constraints.txt \
+    -type f ! -path '*/__pycache__/*' ! -name '*_test.py' -print0 |
+    LC_ALL=C sort -z | xargs -0 sha256sum | sha256sum
+)
+if [ -e target/deps/.built ] && [ "$(cat target/deps/.built)" = "$fingerprint" ]; then
+  exit 0
+fi
+mkdir -p target
+next=$(mktemp -d target/deps.XXXXXX)
+trap 'rm -rf "$next"' EXIT
+if [ -e target/deps/.installed ] && cmp -s deploy/requirements.txt target/deps/.installed; then
+  cp -r target/deps/. "$next"
+  rm -rf "$next/bilberryrail"
+else
   python3 -m pip install -q --disable-pip-version-check -c constraints.txt \
-    --target target/deps -r deploy/requirements.txt
-  cp deploy/requirements.txt target/deps/.installed
+    --target "$next" -r deploy/requirements.txt
+  cp deploy/requirements.txt "$next/.installed"
 fi
-rm -rf target/deps/bilberryrail
-mkdir -p target/deps/bilberryrail
+mkdir -p "$next/bilberryrail"
 for package in core policy control forwarding gateway; do
-  cp -r "packages/$package/bilberryrail/$package" target/deps/bilberryrail/
+  cp -r "packages/$package/bilberryrail/$package" "$next/bilberryrail/"
 done
-cp -r platform/bilberryrail/adapter target/deps/bilberryrail/
-python3 -m compileall -q target/deps/bilberryrail
+cp -r platform/bilberryrail/adapter "$next/bilberryrail/"
+python3 -m compileall -q "$next/bilberryrail"
+printf '%s' "$fingerprint" > "$next/.built"
+chmod 755 "$next"
+old=$(mktemp -d target/old.XXXXXX)
+if [ -e target/deps ]; then
+  mv target/deps "$old/"
+fi
+mv "$next" target/deps
+rm -rf "$old"
