One factory for outgoing connections; remove unused names

Cause: backend_pool, http_channel and the soak's proxy each had a ClientFactory of their own, alike; Forward.repeat, Attempt.is_repeat, Refusal.CANCELLED, Failure.TIMEOUT and ServiceRules.cold_period_s were written but never read. Change: sockets.OneConnection serves all three; a backend server that cannot be reached is logged with its reason.

--- a/packages/forwarding/bilberryrail/forwarding/exchanges.py
+++ b/packages/forwarding/bilberryrail/forwarding/exchanges.py
@@ -22,7 +22,6 @@
     exchange: 'Exchange'
     node: NodeId
     sent_at: Seconds
-    is_repeat: bool
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/forwarding/bilberryrail/forwarding/fixtures_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/fixtures_test.py
@@ -33,7 +33,6 @@
     service=BOARD,
     health_path='/health',
     max_connections=100,
-    cold_period_s=3,
     cold_requests_per_s=40,
 )
 
@@ -120,5 +119,4 @@
         bound_s=bound_s,
         rank=rank,
         idempotent=idempotent,
-        repeat=False,
     )
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -246,7 +246,6 @@
             exchange=exchange,
             node=node,
             sent_at=now,
-            is_repeat=is_repeat,
         )
         self.attempts.start(attempt, choice.candidate)
         exchange.excluded.add(node)
@@ -271,7 +270,6 @@
             bound_s=choice.bound_s * BOUND_FACTOR,
             rank=exchange.route.priority,
             idempotent=exchange.route.idempotent,
-            repeat=is_repeat,
         )
         self.links.send(node, message)
 
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -54,8 +54,6 @@
         if there is none, so that the request may wait.
     rank
         Urgency; the lowest goes first.
-    repeat
-        Whether the request may have reached another backend server before.
     """
 
     attempt: AttemptId
@@ -67,7 +65,6 @@
     bound_s: float
     rank: int
     idempotent: bool
-    repeat: bool
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=3):
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -72,8 +72,6 @@
     ----------
     health_path
         Path of the health check.
-    cold_period_s
-        Time after a start in which a backend server is cold.
     cold_requests_per_s
         Requests a second that a cold backend server bears.
     """
@@ -81,7 +79,6 @@
     service: ServiceId
     health_path: str
     max_connections: int
-    cold_period_s: float
     cold_requests_per_s: float
 
 
@@ -189,7 +186,6 @@
     OTHER_INSTANCE = 'other-instance'
     CONNECT_FAILED = 'connect-failed'
     LINK_DOWN = 'link-down'
-    CANCELLED = 'cancelled'
 
 
 #: Refusals by the backend server itself: the request reached it and counts as
@@ -204,7 +200,6 @@
     RESET = 'reset'
     MALFORMED = 'malformed'
     UNSEALED = 'unsealed'
-    TIMEOUT = 'timeout'
 
 
 Header = tuple[bytes, bytes]
--- a/packages/gateway/bilberryrail/gateway/backend_pool.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool.py
@@ -5,7 +5,7 @@
 from typing import Any, Final
 
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.protocol import Protocol
 
 from bilberryrail.core.ids import Seconds
 from bilberryrail.forwarding.records import (
@@ -125,6 +125,14 @@
             self.pool.dropped_idle()
         self._fail(Failure.RESET)
 
+    def not_opened(self, reason: str) -> None:
+        """Report a request that was not sent."""
+        work = self.work
+        self.work = None
+        if work is not None:
+            self.pool.log('backend_unreachable', reason=reason)
+            self.pool.connect_failed(work)
+
     def abort(self) -> None:
         """Give up the request and the connection."""
         self.work = None
@@ -165,30 +173,6 @@
             self.pool.failed(work, reason)
 
 
-class _Factory(ClientFactory):
-    """Opens one connection for one request."""
-
-    noisy = False
-
-    def __init__(self, connection: BackendConnection) -> None:
-        self.connection = connection
-
-    def buildProtocol(self, addr: Any) -> BackendConnection:  # noqa: N802
-        """Return the connection."""
-        return self.connection
-
-    def clientConnectionFailed(  # noqa: N802
-        self,
-        connector: Any,
-        reason: Any,
-    ) -> None:
-        """Report that nothing was sent."""
-        connection = self.connection
-        work = connection.work
-        connection.work = None
-        connection.pool.connect_failed(connection, work)
-
-
 class BackendPool:
     """Sends each request exactly once, over an idle or a new connection.
 
@@ -229,7 +213,7 @@
             self.reactor.connectTCP(
                 self.address.host,
                 self.address.port,
-                _Factory(connection),
+                sockets.OneConnection(connection, connection.not_opened),
                 timeout=CONNECT_TIMEOUT_S,
             )
         else:
@@ -301,15 +285,10 @@
         self.busy.pop(work.number, None)
         self.target.failed(work, reason)
 
-    def connect_failed(
-        self,
-        connection: BackendConnection,
-        work: Work | None,
-    ) -> None:
+    def connect_failed(self, work: Work) -> None:
         """Report a request that was not sent."""
-        if work is not None:
-            self.busy.pop(work.number, None)
-            self.target.not_run(work, Refusal.CONNECT_FAILED)
+        self.busy.pop(work.number, None)
+        self.target.not_run(work, Refusal.CONNECT_FAILED)
 
     def _payload(self, work: Work, instance: InstanceId) -> bytes:
         request = work.message.request
--- a/packages/gateway/bilberryrail/gateway/http_channel.py
+++ b/packages/gateway/bilberryrail/gateway/http_channel.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.defer import Deferred, DeferredLock, ensureDeferred
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.protocol import Protocol
 
 from bilberryrail.forwarding.records import Header, find_header
 from bilberryrail.gateway import sockets
@@ -105,27 +105,6 @@
             self.transport.abortConnection()
 
 
-class _Factory(ClientFactory):
-    """Opens the connection of a channel."""
-
-    noisy = False
-
-    def __init__(self, connection: ChannelConnection) -> None:
-        self.connection = connection
-
-    def buildProtocol(self, addr: Any) -> ChannelConnection:  # noqa: N802
-        """Return the connection."""
-        return self.connection
-
-    def clientConnectionFailed(  # noqa: N802
-        self,
-        connector: Any,
-        reason: Any,
-    ) -> None:
-        """Fail the request in flight."""
-        self.connection.fail(reason.getErrorMessage())
-
-
 class HttpChannel:
     """Keeps a connection to one address and opens a new one when needed."""
 
@@ -209,7 +188,7 @@
         self.reactor.connectTCP(
             self.host,
             self.port,
-            _Factory(connection),
+            sockets.OneConnection(connection, connection.fail),
             timeout=self.connect_timeout_s,
         )
         return connection
--- a/packages/gateway/bilberryrail/gateway/sockets.py
+++ b/packages/gateway/bilberryrail/gateway/sockets.py
@@ -1,8 +1,11 @@
-"""Socket options that show a silent connection within seconds."""
+"""Outgoing connections, and options that show silent ones within seconds."""
 
 import socket
+from collections.abc import Callable
 from typing import Any, Final
 
+from twisted.internet.protocol import ClientFactory, Protocol
+
 #: Idle time before the first keep-alive probe, time between probes, and probes
 #: without an answer after which the connection is reset.
 KEEPALIVE_IDLE_S: Final = 1
@@ -26,3 +29,35 @@
     )
     for option, limit in options:
         handle.setsockopt(socket.IPPROTO_TCP, option, limit)
+
+
+class OneConnection(ClientFactory):
+    """Opens a connection for a protocol that exists already.
+
+    Parameters
+    ----------
+    on_failed
+        Takes the reason if the connection cannot be opened.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        protocol: Protocol,
+        on_failed: Callable[[str], None],
+    ) -> None:
+        self.protocol_made = protocol
+        self.on_failed = on_failed
+
+    def buildProtocol(self, addr: Any) -> Protocol:  # noqa: N802
+        """Return the protocol."""
+        return self.protocol_made
+
+    def clientConnectionFailed(  # noqa: N802
+        self,
+        connector: Any,
+        reason: Any,
+    ) -> None:
+        """Report that nothing was sent."""
+        self.on_failed(reason.getErrorMessage())
--- a/packages/soak/bilberryrail/soak/proxy.py
+++ b/packages/soak/bilberryrail/soak/proxy.py
@@ -4,9 +4,10 @@
 from enum import Enum
 from typing import Any, Final
 
-from twisted.internet.protocol import ClientFactory, Factory, Protocol
+from twisted.internet.protocol import Factory, Protocol
 
 from bilberryrail.gateway.settings import Address
+from bilberryrail.gateway.sockets import OneConnection
 
 #: Bytes that wait for a connection before it is reset.
 MOST_HELD: Final = 1_000_000
@@ -66,6 +67,11 @@
         if other is not None and other.is_open:
             other.transport.loseConnection()
 
+    def not_opened(self, reason: str) -> None:
+        """Reset the client's connection: the server cannot be reached."""
+        if self.other is not None and self.other.is_open:
+            self.other.transport.abortConnection()
+
     def write(self, payload: bytes) -> None:
         """Write to this side's peer."""
         if self.is_open:
@@ -78,28 +84,6 @@
             self.other.write(payload)
 
 
-class _Dialing(ClientFactory):
-    """Opens the second connection."""
-
-    noisy = False
-
-    def __init__(self, side: _Side) -> None:
-        self.side = side
-
-    def buildProtocol(self, addr: Any) -> _Side:  # noqa: N802
-        """Return the side."""
-        return self.side
-
-    def clientConnectionFailed(  # noqa: N802
-        self,
-        connector: Any,
-        reason: Any,
-    ) -> None:
-        """Reset the first connection."""
-        if self.side.other.is_open:
-            self.side.other.transport.abortConnection()
-
-
 class Proxy(Factory):
     """Forwards connections to one address.
 
@@ -130,7 +114,7 @@
         client.other = server
         server.other = client
         self.reactor.connectTCP(
-            self.target.host, self.target.port, _Dialing(server)
+            self.target.host, self.target.port, OneConnection(server, server.not_opened)
         )
 
     def reset(self) -> None:
