Two nodes of a large availability zone read the store for the others

Change: in zones of eight nodes or more the first two linked nodes by name read on and tell their zone; a node that hears from no reader for 1.6 s reads itself. Changes still spread between zones and within one without readers.

--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -123,10 +123,13 @@
         Offset up to which it has read the operators' records.
     news
         Changes of nodes that it has heard of, summed over all nodes.
+    reads
+        Whether it reads the store for its availability zone.
     """
 
     offset: int
     news: int
+    reads: bool = False
 
 
 class OperatorSnapshot(msgspec.Struct, array_like=True, tag=11):
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/readers.py
@@ -0,0 +1,40 @@
+"""Which nodes of an availability zone read the store for the others."""
+
+from collections.abc import Callable, Iterable
+from typing import Final
+
+from bilberryrail.core.ids import NodeId
+from bilberryrail.forwarding.records import Peer
+
+#: Nodes of an availability zone that read the store; two, so that one of them
+#: may be down or turned away.
+READERS: Final = 2
+
+#: Size of an availability zone from which readers are chosen. In smaller ones
+#: every node reads, as that saves few calls.
+LEAST_ZONE_NODES: Final = 8
+
+
+def is_reader(
+    own: Peer,
+    others: Iterable[Peer],
+    is_up: Callable[[NodeId], bool],
+) -> bool:
+    """Tell whether a node reads the store for its availability zone.
+
+    Each node decides for itself: it reads unless enough linked nodes come
+    before it by name. Nodes with different views choose too many readers
+    rather than none.
+
+    Parameters
+    ----------
+    others
+        The other nodes that have not left.
+    is_up
+        Tells whether a link to a node is open.
+    """
+    near = [peer.node for peer in others if peer.zone == own.zone]
+    if len(near) + 1 < LEAST_ZONE_NODES:
+        return True
+    before = sum(1 for node in near if node < own.node and is_up(node))
+    return before < READERS
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/readers_test.py
@@ -0,0 +1,48 @@
+"""Tests of the choice of the nodes that read the store."""
+
+from bilberryrail.forwarding.fixtures_test import peer
+from bilberryrail.forwarding.readers import (
+    LEAST_ZONE_NODES,
+    READERS,
+    is_reader,
+)
+
+NAMES = [f'n{number:02}' for number in range(12)]
+
+
+def readers(names, up):
+    """Return the nodes that choose themselves."""
+    return [
+        name
+        for name in names
+        if is_reader(
+            peer(name),
+            [peer(other) for other in names if other != name],
+            up.__contains__,
+        )
+    ]
+
+
+def test_two_nodes_read_for_a_large_zone():
+    # Guards against a fleet whose every node asks the store for itself.
+    assert readers(NAMES, set(NAMES)) == NAMES[:READERS]
+
+
+def test_the_next_nodes_read_when_readers_are_down():
+    # Guards against a zone that hears nothing after its readers have died.
+    up = set(NAMES[2:])
+    assert readers(NAMES, up)[2:] == NAMES[2:4]
+
+
+def test_every_node_of_a_small_zone_reads():
+    # Guards against waiting for others where it saves nothing.
+    small = NAMES[: LEAST_ZONE_NODES - 1]
+    assert readers(small, set(small)) == small
+
+
+def test_nodes_of_other_zones_do_not_count():
+    # Guards against a zone whose readers are all in another zone.
+    own = peer('z9')
+    others = [peer(name, zone='west') for name in NAMES]
+    others += [peer(f'y{number}') for number in range(8)]
+    assert is_reader(own, others, lambda node: node.startswith('n'))
--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -19,6 +19,9 @@
 #: Pause after a call that failed.
 RETRY_S: Final = 0.25
 
+#: Interval at which a node that hears from readers looks whether it still does.
+DUTY_INTERVAL_S: Final = 0.2
+
 #: Interval at which the list of nodes is read. Nodes announce themselves over
 #: links, so it only finds nodes that no link has reached.
 MEMBERS_INTERVAL_S: Final = 15.0
@@ -35,6 +38,8 @@
 
     Attributes
     ----------
+    is_due
+        Tells whether this node reads on; if not, others tell it.
     is_reachable
         Whether the newest call was answered.
     """
@@ -58,6 +63,7 @@
         self.log = log
         self.is_reachable = True
         self.is_stopped = False
+        self.is_due: Callable[[], bool] = _always
         self.on_operators: Callable[[], None] = _ignore
         self.on_peers: Callable[[list[Any]], None] = _ignore
 
@@ -93,7 +99,9 @@
         has_state = False
         while not self.is_stopped:
             try:
-                if has_state:
+                if has_state and not self.is_due():
+                    await self._pause(DUTY_INTERVAL_S)
+                elif has_state:
                     await self._read_records()
                 else:
                     await self._read_state()
@@ -125,7 +133,11 @@
         # Writing before reading lets one of two nodes that start together see
         # the other one.
         await self._announce()
+        is_known = False
         while not self.is_stopped:
+            if is_known and not self.is_due():
+                await self._pause(MEMBERS_INTERVAL_S)
+                continue
             try:
                 peers = await self.store.announcements()
             except StoreError as error:
@@ -134,6 +146,7 @@
                 continue
             self._answered('announcements')
             self.on_peers(list(peers))
+            is_known = True
             await self._pause(MEMBERS_INTERVAL_S)
 
     def _answered(self, kind: str) -> None:
@@ -162,5 +175,10 @@
         )
 
 
+def _always() -> bool:
+    """Stand in for a choice of readers."""
+    return True
+
+
 def _ignore(*_: Any) -> None:
     """Stand in for a listener."""
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/follower_test.py
@@ -0,0 +1,99 @@
+"""Tests of how a node follows the store."""
+
+from itertools import repeat
+from random import Random
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+
+from bilberryrail.forwarding.fixtures_test import peer
+from bilberryrail.forwarding.membership import Membership
+from bilberryrail.forwarding.messages import OperatorSnapshot
+from bilberryrail.forwarding.operators import OperatorState, ZoneRecord
+from bilberryrail.gateway.follower import MEMBERS_INTERVAL_S, StoreFollower
+from bilberryrail.gateway.store import OperatorRecords
+
+
+class FakeStore:
+    """Answers each read at once, but for one that waits for records."""
+
+    def __init__(self):
+        self.calls = []
+        self.waiting = None
+
+    async def operator_state(self):
+        self.calls.append('state')
+        return OperatorSnapshot(4, None, ())
+
+    async def operator_records(self, offset, wait_s):
+        self.calls.append(('records', offset))
+        self.waiting = Deferred()
+        return await self.waiting
+
+    async def announce(self, own):
+        self.calls.append('announce')
+        await succeed(None)
+
+    async def announcements(self):
+        self.calls.append('announcements')
+        return [peer('n2')]
+
+
+def _ignore(event, **fields):
+    """Stand in for a log."""
+
+
+class Bench:
+    """A follower of a node that others may read for."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.store = FakeStore()
+        self.operators = OperatorState()
+        self.is_due = False
+        self.follower = StoreFollower(
+            self.clock,
+            Random(1),
+            self.store,
+            self.operators,
+            Membership(peer('n1')),
+            SimpleNamespace(called_store=lambda *_: None),
+            _ignore,
+        )
+        self.follower.is_due = lambda: self.is_due
+
+    def run(self, seconds):
+        self.clock.pump(repeat(0.1, int(seconds / 0.1)))
+
+
+@pytest.fixture
+def bench():
+    return Bench()
+
+
+def test_every_node_reads_once_at_its_start(bench):
+    # Guards against a node that waits for readers which are not up yet.
+    bench.follower.start()
+    assert bench.store.calls == ['state', 'announce', 'announcements']
+
+
+def test_node_that_others_read_for_makes_no_calls(bench):
+    # Guards against calls of the store that grow with the fleet.
+    bench.follower.start()
+    bench.store.calls.clear()
+    bench.run(3 * MEMBERS_INTERVAL_S)
+    assert not bench.store.calls
+
+
+def test_node_reads_on_from_what_it_knows_when_it_is_due(bench):
+    # Guards against records that are lost between a reader and its successor.
+    bench.follower.start()
+    bench.operators.apply(ZoneRecord(6, 'east', is_out=True))
+    bench.is_due = True
+    bench.run(1)
+    assert ('records', 7) in bench.store.calls
+    record = ZoneRecord(7, 'west', is_out=True)
+    bench.store.waiting.callback(OperatorRecords([record], 8))
+    assert bench.operators.zones_out == {'east', 'west'}
--- a/packages/gateway/bilberryrail/gateway/gossip.py
+++ b/packages/gateway/bilberryrail/gateway/gossip.py
@@ -8,10 +8,12 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.operators import OperatorState
+from bilberryrail.forwarding.readers import LEAST_ZONE_NODES
 from bilberryrail.forwarding.records import BackendLoad
 from bilberryrail.forwarding.target import Target
 from bilberryrail.gateway.link import Link
 from bilberryrail.gateway.links import Links
+from bilberryrail.gateway.reading_duty import ReadingDuty
 
 #: Interval at which a changed load is sent to nodes that use this target.
 LOAD_INTERVAL_S: Final = 0.1
@@ -23,8 +25,8 @@
 LEAST_SLOWDOWN_CHANGE: Final = 0.4
 LEAST_ROOM_CHANGE: Final = 0.25
 
-#: Interval at which one node of the availability zone is told how much this
-#: node knows.
+#: Interval at which other nodes of the availability zone are told how much
+#: this node knows.
 PROGRESS_INTERVAL_S: Final = 1.0
 
 #: The same for a node that the store turns away; any zone may help it.
@@ -34,6 +36,10 @@
 #: other nodes itself.
 CHANGE_DELAY_S: Final = 0.4
 
+#: The same for a reader, whose zone waits for it; changes that the store gives
+#: together are told once.
+FIRST_WORD_DELAY_S: Final = 0.02
+
 #: Shortest time between two questions for the operators' state.
 ASK_INTERVAL_S: Final = 0.3
 
@@ -44,8 +50,8 @@
 class Gossip:
     """Tells linked nodes about changes, at a bounded rate.
 
-    The store tells every node what operators want. Nodes that the store turns
-    away hear it from others here.
+    The store tells its readers what operators want. All other nodes, and
+    readers that the store turns away, hear it from others here.
 
     Attributes
     ----------
@@ -61,6 +67,7 @@
         membership: Membership,
         operators: OperatorState,
         target: Target,
+        duty: ReadingDuty,
     ) -> None:
         self.reactor = reactor
         self.random = random
@@ -68,6 +75,7 @@
         self.membership = membership
         self.operators = operators
         self.target = target
+        self.duty = duty
         self.pushed = BackendLoad()
         self.started_at = reactor.seconds()
         self.is_store_up: Callable[[], bool] = bool
@@ -82,13 +90,18 @@
         self._push_progress()
 
     def changed(self) -> None:
-        """Tell others soon that the operators' state has changed."""
-        if not self._has_news:
-            self._has_news = True
-            self.reactor.callLater(CHANGE_DELAY_S, self._push_change)
+        """Tell others that the operators' state has changed."""
+        if self._has_news:
+            return
+        self._has_news = True
+        is_first_word = self.duty.is_chosen and self._serves_zone()
+        delay_s = FIRST_WORD_DELAY_S if is_first_word else CHANGE_DELAY_S
+        self.reactor.callLater(delay_s, self._push_change)
 
     def heard(self, node: NodeId, progress: messages.Progress) -> None:
         """Help a node that knows less; ask one that knows more."""
+        if progress.reads and self._is_near(node):
+            self.duty.heard()
         own = self._progress()
         now = self.reactor.seconds()
         if progress.offset > own.offset or progress.news > own.news:
@@ -100,8 +113,27 @@
         return messages.Progress(
             self.operators.next_offset,
             self.membership.news,
+            reads=self._reads(),
+        )
+
+    def _reads(self) -> bool:
+        return (
+            self.is_store_up() and self.duty.is_chosen and self._serves_zone()
         )
 
+    def _serves_zone(self) -> bool:
+        """Tell whether other nodes of the zone rely on readers."""
+        return len(self._near()) + 1 >= LEAST_ZONE_NODES
+
+    def _near(self) -> list[NodeId]:
+        own = self.membership.own
+        others = self.membership.others()
+        return [peer.node for peer in others if peer.zone == own.zone]
+
+    def _is_near(self, node: NodeId) -> bool:
+        peer = self.membership.peers.get(node)
+        return peer is not None and peer.zone == self.membership.own.zone
+
     def _ask(self, node: NodeId, now: float) -> None:
         is_early = now - self.started_at < STORE_FIRST_S
         if is_early or now - self._asked_at < ASK_INTERVAL_S:
@@ -124,8 +156,17 @@
             self.links.tell(node, messages.Nodes(self.membership.all()))
 
     def _push_change(self) -> None:
-        """Tell the whole zone, and one node of each other zone."""
+        """Tell the whole zone, and one node of each other zone.
+
+        A node that hears from readers tells one neighbour only: the news may
+        have come from another zone while its readers are cut off.
+        """
         self._has_news = False
+        if not self.duty.is_due:
+            near = self._near()
+            if near:
+                self.links.tell(self.random.choice(near), self._progress())
+            return
         own = self.membership.own
         by_zone: dict[AvailabilityZoneId, list[NodeId]] = {}
         for peer in self.membership.others():
@@ -139,9 +180,16 @@
         is_store_up = self.is_store_up()
         interval_s = PROGRESS_INTERVAL_S if is_store_up else ALONE_INTERVAL_S
         self.reactor.callLater(interval_s, self._push_progress)
+        progress = self._progress()
+        if progress.reads:
+            for reading in self._near():
+                self.links.tell(reading, progress)
+            return
+        if self.duty.is_covered:
+            return
         node = self._neighbour(is_near=is_store_up)
         if node is not None:
-            self.links.tell(node, self._progress())
+            self.links.tell(node, progress)
 
     def _neighbour(self, *, is_near: bool) -> NodeId | None:
         """Draw a linked node of this region, of this zone if there is one.
--- a/packages/gateway/bilberryrail/gateway/gossip_test.py
+++ b/packages/gateway/bilberryrail/gateway/gossip_test.py
@@ -15,8 +15,15 @@
     Progress,
 )
 from bilberryrail.forwarding.operators import OperatorState, ZoneRecord
+from bilberryrail.forwarding.readers import LEAST_ZONE_NODES
 from bilberryrail.forwarding.records import BackendLoad
-from bilberryrail.gateway.gossip import CHANGE_DELAY_S, Gossip
+from bilberryrail.gateway.gossip import (
+    CHANGE_DELAY_S,
+    FIRST_WORD_DELAY_S,
+    PROGRESS_INTERVAL_S,
+    Gossip,
+)
+from bilberryrail.gateway.reading_duty import UNHEARD_S, ReadingDuty
 
 
 class FakeLinks:
@@ -62,6 +69,7 @@
             self.membership,
             self.operators,
             SimpleNamespace(load=BackendLoad),
+            ReadingDuty(self.clock, self.membership, self.links),
         )
         self.gossip.is_store_up = lambda: self.is_store_up
         self.clock.advance(5)
@@ -121,3 +129,70 @@
     bench.gossip.start()
     bench.clock.pump(repeat(0.1, 60))
     assert set(bench.links.to(Progress)) <= {'near1', 'near2'}
+
+
+def enlarge(bench, *, first):
+    """Let the zone be so large that two nodes read for it."""
+    bench.membership.learn(
+        [peer(f'{first}{number}') for number in range(LEAST_ZONE_NODES)],
+    )
+
+
+def test_reader_tells_its_zone_at_once_and_regularly(bench):
+    # Guards against a zone that learns of a change when its own calls of the
+    # store, which it no longer makes, would have told it.
+    enlarge(bench, first='o')
+    bench.change(3)
+    bench.clock.advance(FIRST_WORD_DELAY_S)
+    assert set(bench.links.to(Progress)) >= {'near1', 'o0', 'o7'}
+    bench.links.told.clear()
+    bench.gossip.start()
+    assert set(bench.links.to(Progress)) >= {'near1', 'o0', 'o7'}
+    assert all(one.reads for _, one in bench.links.told)
+
+
+def test_reader_without_the_store_does_not_cover_its_zone(bench):
+    # Guards against nodes that rely on a reader which is turned away.
+    enlarge(bench, first='o')
+    bench.is_store_up = False
+    bench.gossip.start()
+    assert not any(one.reads for _, one in bench.links.told)
+
+
+def test_node_reads_itself_when_no_reader_is_heard(bench):
+    # Guards against a zone that hears nothing after both readers are gone.
+    enlarge(bench, first='a')
+    duty = bench.gossip.duty
+    assert duty.is_due
+    bench.gossip.heard('a0', Progress(0, bench.membership.news, reads=True))
+    assert not duty.is_due
+    bench.clock.advance(UNHEARD_S + 0.1)
+    assert duty.is_due
+
+
+def test_reader_of_another_zone_covers_nobody_here(bench):
+    # Guards against a zone that takes a distant reader for its own.
+    enlarge(bench, first='a')
+    progress = Progress(0, bench.membership.news, reads=True)
+    bench.gossip.heard('west1', progress)
+    assert bench.gossip.duty.is_due
+
+
+def test_covered_node_tells_one_neighbour_of_a_change(bench):
+    # Guards against readers that are cut off unnoticed: what another zone
+    # tells one node has to spread in this zone.
+    enlarge(bench, first='a')
+    bench.gossip.heard('a0', Progress(0, bench.membership.news, reads=True))
+    bench.change(3)
+    bench.clock.advance(CHANGE_DELAY_S)
+    assert len(bench.links.to(Progress)) == 1
+
+
+def test_covered_node_sends_no_regular_progress(bench):
+    # Guards against messages that grow with the square of a zone.
+    enlarge(bench, first='a')
+    bench.gossip.start()
+    bench.gossip.heard('a0', Progress(0, bench.membership.news, reads=True))
+    bench.links.told.clear()
+    bench.clock.advance(PROGRESS_INTERVAL_S)
+    assert not bench.links.told
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -26,6 +26,7 @@
 from bilberryrail.gateway.links import Links
 from bilberryrail.gateway.metrics import Metrics, MetricsService
 from bilberryrail.gateway.presence import Presence, first_announcement
+from bilberryrail.gateway.reading_duty import ReadingDuty
 from bilberryrail.gateway.settings import GatewaySettings, parse_address
 from bilberryrail.gateway.settings_watch import SettingsWatch
 from bilberryrail.gateway.shutdown import Shutdown
@@ -86,6 +87,7 @@
         self.follower.on_operators = self._operators_changed
         self.follower.on_peers = self.presence.learn
         self.presence.store = self.follower.announce
+        self.follower.is_due = lambda: self.duty.is_due
         self.gossip.is_store_up = lambda: self.follower.is_reachable
         self.shutdown = Shutdown(self, on_stopped)
 
@@ -179,6 +181,7 @@
             self.backend,
             self.log.process,
         )
+        self.duty = ReadingDuty(self.reactor, self.membership, self.links)
         self.gossip = Gossip(
             self.reactor,
             self.random,
@@ -186,6 +189,7 @@
             self.membership,
             self.operators,
             self.target,
+            self.duty,
         )
         self.links.events = Switchboard(
             self.reactor,
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/reading_duty.py
@@ -0,0 +1,47 @@
+"""Whether this node reads the store, or hears from nodes that do."""
+
+import math
+from typing import Any, Final
+
+from bilberryrail.forwarding.membership import Membership
+from bilberryrail.forwarding.readers import is_reader
+from bilberryrail.gateway.links import Links
+
+#: Time after the newest word of a reader in which this node reads the store
+#: itself. A change has to be in force everywhere within 3 s.
+UNHEARD_S: Final = 1.6
+
+
+class ReadingDuty:
+    """Decides who reads the store in this node's availability zone."""
+
+    def __init__(
+        self, clock: Any, membership: Membership, links: Links
+    ) -> None:
+        self.clock = clock
+        self.membership = membership
+        self.links = links
+        self.heard_at = -math.inf
+
+    @property
+    def is_chosen(self) -> bool:
+        """Whether this node reads for its zone."""
+        return is_reader(
+            self.membership.own,
+            self.membership.others(),
+            self.links.is_up,
+        )
+
+    @property
+    def is_covered(self) -> bool:
+        """Whether another node has told lately that it reads."""
+        return self.clock.seconds() - self.heard_at < UNHEARD_S
+
+    @property
+    def is_due(self) -> bool:
+        """Whether this node has to read."""
+        return not self.is_covered or self.is_chosen
+
+    def heard(self) -> None:
+        """Note that a node of this zone reads the store."""
+        self.heard_at = self.clock.seconds()
--- a/packages/soak/bilberryrail/soak/proxy.py
+++ b/packages/soak/bilberryrail/soak/proxy.py
@@ -114,7 +114,9 @@
         client.other = server
         server.other = client
         self.reactor.connectTCP(
-            self.target.host, self.target.port, OneConnection(server, server.not_opened)
+            self.target.host,
+            self.target.port,
+            OneConnection(server, server.not_opened),
         )
 
     def reset(self) -> None:
