Learn the usual duration of each route; let a stated slowdown end

Cause: a target kept one usual duration for all its requests. Where lookups of 46 ms and bookings of 240 ms share backend servers, each booking made the host look slow and was expected to take 110 ms, so requests were queued that could not meet their aim. A host that stated a slowdown of 4 was expected to stay so for the whole request, although it changes several times a second. Change: durations are learned by route, in work, that is without the stated slowdown of the time in which they ran; an expected duration takes a stated slowdown for 0.15 s and the average after that. Ingress nodes learn the route's duration from answers. The target's log lines name route and rank.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -1,6 +1,7 @@
 """What a node knows about the backend server beside it."""
 
 import math
+from dataclasses import dataclass
 from typing import Final
 
 from bilberryrail.core.ids import Seconds, ServiceId
@@ -15,6 +16,7 @@
     BackendLoad,
     BackendPhase,
     InstanceId,
+    RouteId,
     ServiceRules,
 )
 from bilberryrail.forwarding.settings import AdmissionSettings
@@ -36,6 +38,21 @@
 _MOST_GONE: Final = 64
 
 
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """A request that runs.
+
+    Attributes
+    ----------
+    work
+        Count of work when it was sent.
+    """
+
+    route: RouteId
+    at: Seconds
+    work: float
+
+
 class Backend:
     """State of the backend server, from heartbeats, health and answers.
 
@@ -47,7 +64,7 @@
     down
         Whether it accepts no connections.
     running
-        When each request that runs was sent, oldest first.
+        Requests that run, by number, oldest first.
     """
 
     def __init__(self, settings: AdmissionSettings) -> None:
@@ -64,7 +81,7 @@
         self.pace = Pace()
         self.errors = ErrorShare()
         self.rules: ServiceRules | None = None
-        self.running: dict[int, Seconds] = {}
+        self.running: dict[int, Sent] = {}
         self._beside_us = 0
         self._failed_checks = 0
         self._warm_at = Seconds(-math.inf)
@@ -133,9 +150,9 @@
         self.slots = report.slots or self.slots
         self._beside_us = max(0, report.running - len(self.running))
 
-    def started(self, number: int, now: Seconds) -> None:
+    def started(self, number: int, route: RouteId, now: Seconds) -> None:
         """Note a request that is sent to the backend server."""
-        self.running[number] = now
+        self.running[number] = Sent(route, now, self.pace.work(now))
         self.cold.note(now)
         self._tried_at = now
 
@@ -147,9 +164,9 @@
         """Learn from a good answer, whose request has still to be ended."""
         self._proved_at = now
         self.errors.answered(now)
-        sent_at = self.running.get(number)
-        if sent_at is not None:
-            self.pace.learn(now - sent_at, now)
+        sent = self.running.get(number)
+        if sent is not None:
+            self.pace.learn(sent.route, self.pace.work(now) - sent.work, now)
 
     def is_usable(self, now: Seconds) -> bool:
         """Tell whether new requests may be sent at all."""
@@ -192,9 +209,12 @@
         """Return the duration of work now, relative to the usual one."""
         return max(self.pace.slowdown(now), self._stall(now))
 
-    def expected_s(self, now: Seconds) -> float:
-        """Return the time to an answer of a request sent now."""
-        return self.pace.usual_s * self.slowdown(now)
+    def expected_s(self, now: Seconds, route: RouteId | None = None) -> float:
+        """Return the time to an answer of a request sent now.
+
+        Without a route, that of the usual mix of requests.
+        """
+        return self.pace.expected_s(route, self.slowdown(now), now)
 
     def load(self, now: Seconds, waiting: int) -> BackendLoad:
         """Summarize the load for other nodes."""
@@ -203,7 +223,7 @@
             waiting=waiting,
             limit=self.limit() if self.is_usable(now) else 0,
             slowdown=round(self.slowdown(now), 2),
-            service_s=round(self.pace.usual_s, 4),
+            service_s=round(self.pace.usual_s(), 4),
             error_share=round(self.errors.at(now), 3),
         )
 
@@ -233,8 +253,11 @@
 
     def _stall(self, now: Seconds) -> float:
         """Judge the pace by the oldest request that still runs."""
-        if not self.running or not self.pace.usual_s:
+        if not self.running:
             return 0
         oldest = next(iter(self.running.values()))
-        ratio = (now - oldest) / self.pace.usual_s
+        usual_s = self.pace.usual_s(oldest.route)
+        if not usual_s:
+            return 0
+        ratio = (self.pace.work(now) - oldest.work) / usual_s
         return ratio / 2 if ratio > _STALL_FACTOR else 0
--- a/packages/forwarding/bilberryrail/forwarding/backend_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend_test.py
@@ -10,10 +10,11 @@
     Heartbeat,
     LoadReport,
 )
-from bilberryrail.forwarding.records import BackendPhase, InstanceId
+from bilberryrail.forwarding.records import BackendPhase, InstanceId, RouteId
 from bilberryrail.forwarding.settings import AdmissionSettings
 
 NOW = Seconds(10)
+ROUTE = RouteId('r1')
 
 
 def beat(name='i1', *, born=100, seq=1, phase=BackendPhase.READY, cold=0.0):
@@ -111,7 +112,7 @@
     # for ever.
     for _ in range(3):
         backend.checked(HealthResult(is_well=False), NOW)
-    backend.started(1, NOW)
+    backend.started(1, ROUTE, NOW)
     assert not backend.is_usable(NOW)
     later = Seconds(NOW + 0.3)
     assert backend.is_usable(later)
@@ -129,10 +130,10 @@
 def test_stalled_request_tells_that_the_backend_server_is_slow(backend):
     # Guards against a backend server that hangs and looks idle.
     for number in range(30):
-        backend.started(number, Seconds(NOW + number))
+        backend.started(number, ROUTE, Seconds(NOW + number))
         backend.answered(number, Seconds(NOW + number + 0.05))
         backend.ended(number)
-    backend.started(99, Seconds(NOW + 40))
+    backend.started(99, ROUTE, Seconds(NOW + 40))
     assert backend.slowdown(Seconds(NOW + 41)) > 5
 
 
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -150,6 +150,7 @@
         if attempt is None:
             return
         exchange = attempt.exchange
+        self.book.learned(exchange.route.route, reply.usual_s)
         exchange.reached.add(node)
         status = reply.answer.status
         is_error = status >= HTTPStatus.INTERNAL_SERVER_ERROR
@@ -222,6 +223,7 @@
     def _choose(self, exchange: Exchange, now: Seconds) -> Choice | None:
         demand = Demand(
             exchange.service,
+            exchange.route.route,
             exchange.route.home_regions,
             _aim_left(exchange, now),
         )
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -74,11 +74,18 @@
 
 
 class Answered(msgspec.Struct, array_like=True, tag=4):
-    """The backend server's whole answer."""
+    """The backend server's whole answer.
+
+    Attributes
+    ----------
+    usual_s
+        Usual duration of the route's requests at the target, in seconds.
+    """
 
     attempt: AttemptId
     answer: HttpAnswer
     load: BackendLoad
+    usual_s: float = 0
 
 
 class Refused(msgspec.Struct, array_like=True, tag=5):
--- a/packages/forwarding/bilberryrail/forwarding/selection.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection.py
@@ -13,7 +13,13 @@
     Seconds,
     ServiceId,
 )
-from bilberryrail.forwarding.records import BackendLoad, BackendPhase, Peer
+from bilberryrail.forwarding.pace import duration_s
+from bilberryrail.forwarding.records import (
+    BackendLoad,
+    BackendPhase,
+    Peer,
+    RouteId,
+)
 from bilberryrail.forwarding.settings import ForwardingSettings
 
 #: Time to an answer that is assumed while no target of a service has reported
@@ -108,6 +114,7 @@
     """
 
     service: ServiceId
+    route: RouteId
     home_regions: tuple[RegionId, ...]
     aim_s: float
 
@@ -119,8 +126,8 @@
     ----------
     zones_out
         Availability zones that operators have taken out.
-    service_s
-        Usual time to an answer of each service.
+    service_s, route_s
+        Usual time to an answer of each service and of each route.
     """
 
     def __init__(self, settings: ForwardingSettings, random: Random) -> None:
@@ -130,6 +137,7 @@
         self.by_service: dict[ServiceId, list[Candidate]] = {}
         self.zones_out: frozenset[AvailabilityZoneId] = frozenset()
         self.service_s: dict[ServiceId, float] = {}
+        self.route_s: dict[RouteId, float] = {}
 
     def update(self, peers: Iterable[Peer]) -> None:
         """Follow the announcements of the nodes."""
@@ -161,6 +169,13 @@
             change_s = load.service_s - usual_s
             self.service_s[service] = usual_s + _SERVICE_WEIGHT * change_s
 
+    def learned(self, route: RouteId, usual_s: float) -> None:
+        """Take a target's usual time for the requests of a route."""
+        if usual_s:
+            known_s = self.route_s.get(route, usual_s)
+            change_s = usual_s - known_s
+            self.route_s[route] = known_s + _SERVICE_WEIGHT * change_s
+
     def unreachable(self, node: NodeId) -> None:
         """Avoid a target until a link to it is open again."""
         candidate = self.candidates.get(node)
@@ -208,10 +223,10 @@
         ]
         calm = [one for one in usable if one.avoid_until <= now]
         near, far = self._by_distance(calm or usable)
-        ranked = self._rank(near, now)
+        ranked = self._rank(near, demand, now)
         if not ranked or ranked[0][0] > demand.aim_s:
             ranked = self._nearer_or_faster(
-                ranked, self._rank(far, now), demand
+                ranked, self._rank(far, demand, now), demand
             )
         if not ranked:
             return None
@@ -226,7 +241,12 @@
             'best' if calm else 'all-avoided',
         )
 
-    def expected_s(self, candidate: Candidate, now: Seconds) -> float:
+    def expected_s(
+        self,
+        candidate: Candidate,
+        route: RouteId,
+        now: Seconds,
+    ) -> float:
         """Estimate the time to an answer for one more request."""
         load = candidate.load
         weight = self._freshness(candidate, now)
@@ -234,11 +254,14 @@
         slowdown = usual + (load.slowdown - usual) * weight
         reported = (load.running + load.waiting) * weight
         occupied = max(reported + candidate.sent, candidate.in_flight)
-        expected_s = (
-            (load.service_s or self._usual_s(candidate))
-            * slowdown
-            * _crowding(occupied, max(1, load.limit))
+        usual_s = load.service_s or self._usual_s(candidate)
+        limit = max(1, load.limit)
+        waiting = max(0, occupied + 1 - limit)
+        expected_s = usual_s * slowdown * waiting / limit
+        running_s = duration_s(
+            self.route_s.get(route, usual_s), slowdown, usual
         )
+        expected_s += running_s * (1 + _SHARED_HOST * min(1, occupied / limit))
         return expected_s * (1 + load.error_share * _ERROR_COST)
 
     def _usual_s(self, candidate: Candidate) -> float:
@@ -257,8 +280,14 @@
             return 0
         return math.exp(-age / self.settings.placement.slowdown_memory_s)
 
-    def _score(self, candidate: Candidate, now: Seconds) -> float:
-        score = self.expected_s(candidate, now) + self._distance_s(candidate)
+    def _score(
+        self,
+        candidate: Candidate,
+        route: RouteId,
+        now: Seconds,
+    ) -> float:
+        score = self.expected_s(candidate, route, now)
+        score += self._distance_s(candidate)
         if candidate.is_closed(now):
             score += _NO_ROOM_S
         return score * (1 + _SPREAD * (self.random.random() - 1 / 2))
@@ -293,6 +322,7 @@
     def _rank(
         self,
         candidates: list[Candidate],
+        demand: Demand,
         now: Seconds,
     ) -> list[tuple[float, Candidate]]:
         """Order a few candidates, drawn so that a choice costs the same."""
@@ -300,7 +330,7 @@
         if len(candidates) > draws:
             candidates = self.random.sample(candidates, draws)
         return sorted(
-            ((self._score(one, now), one) for one in candidates),
+            ((self._score(one, demand.route, now), one) for one in candidates),
             key=_score_of,
         )
 
@@ -337,11 +367,5 @@
                 group.append(candidate)
 
 
-def _crowding(occupied: float, limit: int) -> float:
-    """Return how much longer an answer takes beside other requests."""
-    waiting = max(0, occupied + 1 - limit)
-    return 1 + _SHARED_HOST * min(1, occupied / limit) + waiting / limit
-
-
 def _score_of(scored: tuple[float, Candidate]) -> float:
     return scored[0]
--- a/packages/forwarding/bilberryrail/forwarding/selection_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection_test.py
@@ -11,10 +11,15 @@
     Seconds,
 )
 from bilberryrail.forwarding.fixtures_test import BOARD, SETTINGS, peer
-from bilberryrail.forwarding.records import BackendLoad, BackendPhase
+from bilberryrail.forwarding.records import (
+    BackendLoad,
+    BackendPhase,
+    RouteId,
+)
 from bilberryrail.forwarding.selection import CandidateBook, Demand
 
 NOW = Seconds(50)
+ROUTE = RouteId('r1')
 
 
 @pytest.fixture
@@ -30,7 +35,7 @@
 
 
 def choose(book, *, homes=(), excluded=(), aim_s=0.3, now=NOW):
-    demand = Demand(BOARD, homes, aim_s)
+    demand = Demand(BOARD, ROUTE, homes, aim_s)
     choice = book.choose(demand, set(excluded), set(), now)
     return choice.candidate.peer.node if choice else None
 
@@ -147,6 +152,6 @@
     # Guards against a request that is sent to and fro between busy targets.
     for node in 'ab':
         book.reported(NodeId(node), load(running=9), NOW)
-    demand = Demand(BOARD, (), 0.3)
+    demand = Demand(BOARD, ROUTE, (), 0.3)
     choice = book.choose(demand, set(), {'a', 'b'}, NOW)
     assert choice.bound_s == 0
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -120,7 +120,7 @@
         self.by_origin[origin] = work
         if not len(self.queue) and self.room.is_free(now):
             bound_s = message.bound_s
-            if bound_s and self.backend.expected_s(now) > bound_s:
+            if bound_s and self._busy_s(work, now) > bound_s:
                 self._refuse(work, Refusal.SLOW, 0)
             else:
                 self._send(work, now)
@@ -148,16 +148,22 @@
             self.backend.answered(work.number, now)
         else:
             self.backend.errors.failed(now)
-        sent_at = self.backend.running.get(work.number, now)
+        sent = self.backend.running.get(work.number)
+        ran_s = now - sent.at if sent else 0
         self.on_decision(
             'answered',
             work,
             status=answer.status,
-            ran_s=round(now - sent_at, 4),
+            ran_s=round(ran_s, 4),
             slowdown=round(self.backend.slowdown(now), 2),
         )
         self._end(work)
-        reply = Answered(work.origin.attempt, answer, self.load())
+        reply = Answered(
+            work.origin.attempt,
+            answer,
+            self.load(),
+            self.backend.pace.usual_s(work.message.route),
+        )
         self.port.reply(work.origin.node, reply)
         self._pump()
 
@@ -187,11 +193,15 @@
     def _now(self) -> Seconds:
         return Seconds(self.clock.seconds())
 
+    def _busy_s(self, work: Work, now: Seconds) -> float:
+        """Return how long a request will run if it is sent now."""
+        return self.backend.expected_s(now, work.message.route)
+
     def _wait(self, work: Work, now: Seconds) -> None:
         """Queue a request if it is likely to be served in time."""
         ahead = self.queue.ahead_of(work.message.rank)
         wait_s = self.room.expected_wait_s(ahead, now)
-        busy_s = self.backend.expected_s(now)
+        busy_s = self._busy_s(work, now)
         bound_s = work.message.bound_s
         if bound_s and wait_s + busy_s > bound_s:
             self._refuse(work, Refusal.BUSY, wait_s)
@@ -226,7 +236,7 @@
 
     def _take(self, work: Work, now: Seconds) -> bool:
         """Take the next request from the queue, if it can leave it now."""
-        least_s = self.backend.expected_s(now) * _LEAST_SHARE_LEFT
+        least_s = self._busy_s(work, now) * _LEAST_SHARE_LEFT
         if now + least_s > work.expires_at:
             self.queue.pop()
             self._refuse(work, Refusal.DEADLINE, UNKNOWN_WAIT_S)
@@ -243,7 +253,7 @@
             self._refuse(work, Refusal.NO_BACKEND, UNKNOWN_WAIT_S)
             return
         self.by_number[work.number] = work
-        self.backend.started(work.number, now)
+        self.backend.started(work.number, work.message.route, now)
         self.on_decision(
             'dispatch',
             work,
--- a/packages/forwarding/bilberryrail/forwarding/target_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/target_test.py
@@ -63,7 +63,7 @@
         self.port = FakePort()
         self.target = Target(SETTINGS, self.clock, self.backend, self.port)
         self.beat(BackendPhase.READY, 1)
-        self.backend.pace.usual_s = 0.05
+        self.backend.pace.overall.learn(0.05)
         self.warm()
 
     def warm(self):
--- a/packages/gateway/bilberryrail/gateway/decision_log.py
+++ b/packages/gateway/bilberryrail/gateway/decision_log.py
@@ -23,6 +23,8 @@
             f'target_{event}',
             request=work.message.request_id,
             origin=work.origin.node,
+            route=work.message.route,
+            rank=work.message.rank,
             **fields,
         )
 
