Serve requests that can be in time before those that are late

Cause: in an overload each queue was ordered by rank and age, so nearly every answer came just after its aim, and what could not be served was held until its deadline. Requests were passed on between busy targets up to 21 times. Change: a request that will miss its aim goes after all that will not, waits a quarter of its time at most and is then refused with the time to come back; short requests, which are mostly calls of running ones, are exempt. A request waits after two detours and is refused after three targets called it late. A region that had no room is not asked again for 0.5 s.

--- a/packages/forwarding/bilberryrail/forwarding/exchanges.py
+++ b/packages/forwarding/bilberryrail/forwarding/exchanges.py
@@ -36,6 +36,8 @@
         Nodes that cannot take the request, or have it.
     busy
         Nodes that could take it only after a wait.
+    late_refusals
+        Nodes that could not answer in the time in which it is worth most.
     reached
         Nodes whose backend server may have got it.
     may_have_run
@@ -54,6 +56,7 @@
     excluded: set[NodeId] = field(default_factory=set)
     busy: set[NodeId] = field(default_factory=set)
     reached: set[NodeId] = field(default_factory=set)
+    late_refusals: int = 0
     retry_after_s: float = 0
     may_have_run: bool = False
     last_answer: HttpAnswer | None = None
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -44,6 +44,17 @@
 #: before it passes a request on; a detour costs a round trip and the body.
 BOUND_FACTOR: Final = 1.5
 
+#: Busy targets after which a request waits at the next one; each detour costs
+#: a round trip.
+_MOST_DETOURS: Final = 2
+
+#: Targets that may refuse a request as late. They are the best ones known, so
+#: others are hardly better.
+_MOST_LATE: Final = 3
+
+#: Refusals that tell of a lack of room.
+_CROWDED: Final = frozenset((Refusal.BUSY, Refusal.SLOW, Refusal.LATE))
+
 #: Refusals after which a request may come back and wait.
 _MAY_WAIT: Final = frozenset((Refusal.BUSY, Refusal.SLOW))
 
@@ -123,6 +134,8 @@
             return
         exchange = attempt.exchange
         _exclude(exchange, node, reply.reason)
+        if reply.reason in _CROWDED:
+            self.book.crowded(node, now)
         if reply.reason in REACHED_BACKEND:
             exchange.reached.add(node)
         exchange.retry_after_s = max(
@@ -137,6 +150,9 @@
         )
         if exchange.attempts:
             return
+        if exchange.late_refusals >= _MOST_LATE:
+            self._give_up(exchange, 'late')
+            return
         is_repeat = bool(exchange.reached)
         if is_repeat and not self._may_repeat(exchange):
             self._give_up(exchange, 'no-repeat-left')
@@ -269,7 +285,7 @@
             request=exchange.request,
             remaining_s=max(0, exchange.expires_at - now),
             aim_s=_aim_left(exchange, now),
-            bound_s=choice.bound_s * BOUND_FACTOR,
+            bound_s=_bound_s(exchange, choice),
             rank=exchange.route.priority,
             idempotent=exchange.route.idempotent,
         )
@@ -382,6 +398,8 @@
 
 def _exclude(exchange: Exchange, node: NodeId, reason: Refusal) -> None:
     """Keep a request from a target, unless it may wait there."""
+    if reason is Refusal.LATE:
+        exchange.late_refusals += 1
     if reason in _MAY_WAIT and node not in exchange.busy:
         exchange.busy.add(node)
         exchange.excluded.discard(node)
@@ -389,6 +407,13 @@
         exchange.excluded.add(node)
 
 
+def _bound_s(exchange: Exchange, choice: Choice) -> float:
+    """Return the time above which a target passes a request on."""
+    if len(exchange.busy) >= _MOST_DETOURS:
+        return 0
+    return choice.bound_s * BOUND_FACTOR
+
+
 def _aim_left(exchange: Exchange, now: Seconds) -> float:
     aim_at = exchange.arrived_at + exchange.route.target_latency_s
     return max(0, aim_at - now)
--- a/packages/forwarding/bilberryrail/forwarding/ingress_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress_test.py
@@ -125,6 +125,29 @@
     assert bench.ingress.idle
 
 
+def test_request_that_is_late_everywhere_is_refused_early(bench):
+    # Guards against a request that asks every target of a crowded service in
+    # turn while its caller waits.
+    bench.ingress.book.update([peer(f'd{number}') for number in range(9)])
+    bench.arrive()
+    for _ in range(3):
+        bench.refuse(Refusal.LATE)
+    assert bench.statuses() == [503]
+    assert len(bench.forwards()) == 3
+
+
+def test_request_waits_after_two_detours(bench):
+    # Guards against a request that is passed on from one busy target to the
+    # next: one was sent 21 times.
+    bench.ingress.book.update([peer(f'd{number}') for number in range(9)])
+    bench.arrive()
+    bounds = []
+    for _ in range(3):
+        bounds.append(bench.forwards()[-1][1].bound_s > 0)
+        bench.refuse(Refusal.BUSY)
+    assert bounds == [True, True, False]
+
+
 def test_refused_request_goes_to_another_target(bench):
     # Guards against a refusal while other targets are free.
     bench.arrive(idempotent=False)
--- a/packages/forwarding/bilberryrail/forwarding/pace.py
+++ b/packages/forwarding/bilberryrail/forwarding/pace.py
@@ -35,6 +35,9 @@
 #: Time for which a stated slowdown goes on; it changes several times a second.
 SLOWDOWN_LASTS_S: Final = 0.15
 
+#: Part of the longest usual duration up to which a request is short.
+_SHORT_SHARE: Final = 2 / 3
+
 #: Shortest duration of an answer that is learned, in seconds.
 _LEAST_DURATION_S: Final = 0.001
 
@@ -133,6 +136,14 @@
         usual = self.by_route.get(route) if route else None
         return (usual or self.overall).usual_s
 
+    def is_short(self, route: RouteId) -> bool:
+        """Tell whether a route's requests are short among those seen here."""
+        longest_s = max(
+            (usual.usual_s for usual in self.by_route.values()),
+            default=0,
+        )
+        return self.usual_s(route) <= longest_s * _SHORT_SHARE
+
     def expected_s(
         self,
         route: RouteId | None,
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -177,6 +177,7 @@
 
     BUSY = 'busy'
     SLOW = 'slow'
+    LATE = 'late'
     COLD = 'cold'
     NO_BACKEND = 'no-backend'
     DRAINING = 'draining'
--- a/packages/forwarding/bilberryrail/forwarding/selection.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection.py
@@ -53,6 +53,10 @@
 #: refuses at once if that is still so.
 CLOSED_MEMORY_S: Final = 0.5
 
+#: Time after a refusal for lack of room in another region in which this one
+#: does not ask there again; its load is not known here.
+CROWDED_REGION_S: Final = 0.5
+
 #: Score of a target that has no room at all.
 _NO_ROOM_S: Final = 10.0
 
@@ -126,6 +130,8 @@
     ----------
     zones_out
         Availability zones that operators have taken out.
+    crowded_until
+        Until when a service is taken to have no room in a region.
     service_s, route_s
         Usual time to an answer of each service and of each route.
     """
@@ -138,6 +144,7 @@
         self.zones_out: frozenset[AvailabilityZoneId] = frozenset()
         self.service_s: dict[ServiceId, float] = {}
         self.route_s: dict[RouteId, float] = {}
+        self.crowded_until: dict[tuple[ServiceId, RegionId], Seconds] = {}
 
     def update(self, peers: Iterable[Peer]) -> None:
         """Follow the announcements of the nodes."""
@@ -169,6 +176,14 @@
             change_s = load.service_s - usual_s
             self.service_s[service] = usual_s + _SERVICE_WEIGHT * change_s
 
+    def crowded(self, node: NodeId, now: Seconds) -> None:
+        """Note a refusal for lack of room."""
+        candidate = self.candidates.get(node)
+        if candidate is not None:
+            peer = candidate.peer
+            until = Seconds(now + CROWDED_REGION_S)
+            self.crowded_until[peer.service, peer.region] = until
+
     def learned(self, route: RouteId, usual_s: float) -> None:
         """Take a target's usual time for the requests of a route."""
         if usual_s:
@@ -223,6 +238,8 @@
         ]
         calm = [one for one in usable if one.avoid_until <= now]
         near, far = self._by_distance(calm or usable)
+        if near:
+            far = [one for one in far if not self._is_crowded(one.peer, now)]
         ranked = self._rank(near, demand, now)
         if not ranked or ranked[0][0] > demand.aim_s:
             ranked = self._nearer_or_faster(
@@ -309,6 +326,11 @@
             if peer.zone not in self.zones_out:
                 yield candidate
 
+    def _is_crowded(self, peer: Peer, now: Seconds) -> bool:
+        """Tell whether a service had no room in a region a moment ago."""
+        until = self.crowded_until.get((peer.service, peer.region))
+        return until is not None and now < until
+
     def _by_distance(
         self,
         candidates: list[Candidate],
--- a/packages/forwarding/bilberryrail/forwarding/selection_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection_test.py
@@ -16,7 +16,11 @@
     BackendPhase,
     RouteId,
 )
-from bilberryrail.forwarding.selection import CandidateBook, Demand
+from bilberryrail.forwarding.selection import (
+    CROWDED_REGION_S,
+    CandidateBook,
+    Demand,
+)
 
 NOW = Seconds(50)
 ROUTE = RouteId('r1')
@@ -108,6 +112,20 @@
     assert choose(book, excluded='ab') == 'far'
 
 
+def test_crowded_region_is_left_alone_for_a_moment(book):
+    # Guards against requests that go to another region one after another to
+    # be refused there.
+    for node in 'ab':
+        book.reported(NodeId(node), load(running=40), NOW)
+    assert shares(book, aim_s=0.2) == {'far': 100}
+    book.crowded(NodeId('far'), NOW)
+    assert 'far' not in shares(book, aim_s=0.2)
+    later = Seconds(NOW + CROWDED_REGION_S)
+    for node in 'ab':
+        book.reported(NodeId(node), load(running=40), later)
+    assert shares(book, aim_s=0.2, now=later) == {'far': 100}
+
+
 def test_home_regions_bind(book):
     # Guards against a body that is sent to a region that may not have it.
     homes = (RegionId('away'),)
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -30,6 +30,10 @@
 #: Part of the usual duration that must be left for a request to be sent.
 _LEAST_SHARE_LEFT: Final = 0.5
 
+#: Part of its time for which a late request waits for a free slot. Longer
+#: waits are rarely rewarded, and keep the caller from coming back.
+_LATE_SHARE: Final = 0.25
+
 #: Most requests kept in the queue for a limit, whatever the limit is.
 _LEAST_QUEUE: Final = 4
 
@@ -199,9 +203,8 @@
 
     def _wait(self, work: Work, now: Seconds) -> None:
         """Queue a request if it is likely to be served in time."""
-        ahead = self.queue.ahead_of(work.message.rank)
-        wait_s = self.room.expected_wait_s(ahead, now)
         busy_s = self._busy_s(work, now)
+        wait_s = self._expected_wait_s(work, now)
         bound_s = work.message.bound_s
         if bound_s and wait_s + busy_s > bound_s:
             self._refuse(work, Refusal.BUSY, wait_s)
@@ -214,10 +217,35 @@
         if is_hopeless or len(self.queue) >= most:
             self._refuse(work, Refusal.BUSY, wait_s)
             return
+        if self._misses_aim(work, Seconds(now + wait_s + busy_s)):
+            work.is_late = True
+            wait_s = self._expected_wait_s(work, now)
+            if now + wait_s > _late_until(work):
+                self._refuse(work, Refusal.LATE, wait_s)
+                return
         self.queue.push(work)
-        self.on_decision('queue', work, wait_s=round(wait_s, 4))
+        self.on_decision(
+            'queue',
+            work,
+            wait_s=round(wait_s, 4),
+            late=work.is_late,
+        )
         self._schedule_check()
 
+    def _expected_wait_s(self, work: Work, now: Seconds) -> float:
+        ahead = self.queue.ahead_of(work)
+        return self.room.expected_wait_s(ahead, now)
+
+    def _misses_aim(self, work: Work, answer_at: Seconds) -> bool:
+        """Tell whether an answer comes too late to be worth most.
+
+        Short requests are served all the same: they delay others little, and
+        are often calls of requests that run.
+        """
+        if answer_at <= work.is_worth_most_until:
+            return False
+        return not self.backend.pace.is_short(work.message.route)
+
     def _pump(self) -> None:
         """Send what has room, and refuse what came too late."""
         now = self._now()
@@ -227,6 +255,7 @@
                 self.queue.cancel(work)
                 self._refuse(work, reason, UNKNOWN_WAIT_S)
             return
+        self._sort_out_late(now)
         following = self.queue.peek()
         while following is not None:
             if not self._take(following, now):
@@ -241,11 +270,25 @@
             self.queue.pop()
             self._refuse(work, Refusal.DEADLINE, UNKNOWN_WAIT_S)
             return True
-        if self.room.is_free(now):
-            self.queue.pop()
-            self._send(work, now)
-            return True
-        return False
+        if not self.room.is_free(now):
+            return False
+        self.queue.pop()
+        self._send(work, now)
+        return True
+
+    def _sort_out_late(self, now: Seconds) -> None:
+        """Move late requests back, and refuse those that have waited enough."""
+        for work in tuple(self.queue):
+            if not work.is_late:
+                answer_at = Seconds(now + self._busy_s(work, now))
+                if not self._misses_aim(work, answer_at):
+                    continue
+                work.is_late = True
+                self.queue.push(work)
+            if now > _late_until(work):
+                self.queue.cancel(work)
+                wait_s = self._expected_wait_s(work, now)
+                self._refuse(work, Refusal.LATE, wait_s)
 
     def _send(self, work: Work, now: Seconds) -> None:
         instance = self.backend.instance
@@ -303,5 +346,11 @@
         self._pump()
 
 
+def _late_until(work: Work) -> Seconds:
+    """Return when a late request has waited long enough."""
+    time_s = work.expires_at - work.arrived_at
+    return Seconds(work.arrived_at + time_s * _LATE_SHARE)
+
+
 def _ignore(event: str, work: Work, **fields: object) -> None:
     """Stand in for a log."""
--- a/packages/forwarding/bilberryrail/forwarding/target_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/target_test.py
@@ -25,6 +25,7 @@
     HttpAnswer,
     InstanceId,
     Refusal,
+    RouteId,
 )
 from bilberryrail.forwarding.target import Target
 
@@ -121,6 +122,49 @@
     assert bench.running()[8:] == [22, 21, 20]
 
 
+def test_late_request_goes_after_those_in_time(bench):
+    # Guards against an overload in which every answer is late: the oldest
+    # requests, which are late already, would be served first.
+    bench.offer(*range(1, 9))
+    bench.offer(20, rank=1, aim_s=0.04)
+    bench.offer(21, rank=2)
+    for index in range(2):
+        bench.target.answered(bench.port.sent[index], HttpAnswer(200))
+    assert bench.running()[8:] == [21, 20]
+
+
+def test_late_request_is_refused_while_the_caller_can_come_back(bench):
+    # Guards against a request that is held until its deadline for a slot that
+    # others take.
+    bench.offer(*range(1, 9))
+    bench.offer(20, aim_s=0.04, remaining_s=0.4)
+    bench.clock.pump(repeat(0.05, 3))
+    assert bench.port.refusals() == [Refusal.LATE]
+    assert bench.target.load().waiting == 0
+
+
+def test_request_that_turns_late_in_the_queue_is_moved_back(bench):
+    # Guards against a slot for a request that lost its worth in the queue.
+    bench.offer(*range(1, 9))
+    bench.offer(20, rank=1, aim_s=0.12)
+    bench.clock.pump(repeat(0.05, 3))
+    bench.offer(21, rank=2, aim_s=0.3)
+    for index in range(2):
+        bench.target.answered(bench.port.sent[index], HttpAnswer(200))
+    assert bench.running()[8:] == [21, 20]
+
+
+def test_short_request_waits_although_it_is_late(bench):
+    # Guards against a call of a running request that is turned away, which
+    # costs the whole request.
+    bench.backend.pace.learn(RouteId('r0'), 0.5, Seconds(100))
+    bench.backend.pace.learn(RouteId('r1'), 0.05, Seconds(100))
+    bench.offer(*range(1, 9))
+    bench.offer(20, aim_s=0.04, remaining_s=0.4)
+    bench.clock.pump(repeat(0.05, 3))
+    assert not bench.port.refusals()
+
+
 def test_draining_backend_server_gets_nothing_more(bench):
     # Guards against new work after the leaving has been acknowledged, also
     # for requests that waited already.
--- a/packages/forwarding/bilberryrail/forwarding/work_queue.py
+++ b/packages/forwarding/bilberryrail/forwarding/work_queue.py
@@ -1,4 +1,4 @@
-"""Requests that wait at a target, the most urgent first."""
+"""Requests that wait at a target, those that can be in time first."""
 
 import heapq
 import itertools
@@ -27,6 +27,10 @@
         Identifies it at the backend server.
     expires_at
         When nobody waits for its answer any more.
+    is_late
+        Whether its answer will come after the time in which it is worth most.
+    entry
+        Its newest place in the queue; zero if it does not wait.
     """
 
     number: int
@@ -34,53 +38,73 @@
     message: Forward
     arrived_at: Seconds
     expires_at: Seconds
-    is_cancelled: bool = False
+    is_late: bool = False
+    entry: int = 0
 
     @property
     def is_worth_most_until(self) -> Seconds:
         """When its answer loses most of its worth."""
         return Seconds(self.arrived_at + self.message.aim_s)
 
+    @property
+    def place(self) -> tuple[bool, int, float]:
+        """Where it stands among others that wait; the lowest goes first."""
+        until = self.expires_at if self.is_late else self.is_worth_most_until
+        return (self.is_late, self.message.rank, until)
+
 
 class WorkQueue:
-    """Priority queue by rank, then by the time in which it is worth most."""
+    """Priority queue of requests.
+
+    A late request goes after all that can still be in time: answering it
+    first would make one of those late too. The others are ordered by rank,
+    then by the time in which they are worth most.
+    """
 
     def __init__(self) -> None:
-        self.entries: list[tuple[int, float, int, Work]] = []
-        self.counter = itertools.count()
+        self.entries: list[tuple[tuple[bool, int, float], int, Work]] = []
+        self.counter = itertools.count(1)
         self.size = 0
 
     def __len__(self) -> int:
         return self.size
 
     def __iter__(self) -> Iterator[Work]:
-        return (
-            entry[-1] for entry in self.entries if not entry[-1].is_cancelled
-        )
+        return (work for _, entry, work in self.entries if work.entry == entry)
 
     def push(self, work: Work) -> None:
-        """Add a request."""
-        key = (work.message.rank, work.is_worth_most_until)
-        heapq.heappush(self.entries, (*key, next(self.counter), work))
-        self.size += 1
+        """Add a request, or move one whose place has changed."""
+        if not work.entry:
+            self.size += 1
+        work.entry = next(self.counter)
+        heapq.heappush(self.entries, (work.place, work.entry, work))
 
-    def ahead_of(self, rank: int) -> int:
-        """Count the requests that go before a new one of a rank."""
-        return sum(1 for work in self if work.message.rank <= rank)
+    def ahead_of(self, work: Work) -> int:
+        """Count the requests that go before a new one."""
+        return sum(1 for other in self if other.place <= work.place)
 
     def peek(self) -> Work | None:
         """Return the next request without taking it."""
-        while self.entries and self.entries[0][-1].is_cancelled:
+        while self.entries and self._is_void(self.entries[0]):
             heapq.heappop(self.entries)
         return self.entries[0][-1] if self.entries else None
 
     def pop(self) -> Work:
         """Take the next request, which ``peek`` has returned."""
+        work = heapq.heappop(self.entries)[-1]
+        work.entry = 0
         self.size -= 1
-        return heapq.heappop(self.entries)[-1]
+        return work
 
     def cancel(self, work: Work) -> None:
         """Remove a request that waits."""
-        if not work.is_cancelled:
-            work.is_cancelled = True
+        if work.entry:
+            work.entry = 0
             self.size -= 1
+
+    def _is_void(
+        self, entry: tuple[tuple[bool, int, float], int, Work]
+    ) -> bool:
+        """Tell whether the request has been moved or removed."""
+        _, number, work = entry
+        return work.entry != number
