Refuse hopeless requests as late; no detours in another region

Cause: a request that a full queue or its own deadline kept out was refused as busy, which lets it ask all other targets twice. Detours in another region pay for the body again, with loads that are not known there.

--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -285,12 +285,23 @@
             request=exchange.request,
             remaining_s=max(0, exchange.expires_at - now),
             aim_s=_aim_left(exchange, now),
-            bound_s=_bound_s(exchange, choice),
+            bound_s=self._bound_s(exchange, choice),
             rank=exchange.route.priority,
             idempotent=exchange.route.idempotent,
         )
         self.links.send(node, message)
 
+    def _bound_s(self, exchange: Exchange, choice: Choice) -> float:
+        """Return the time above which a target passes a request on.
+
+        Another region is not asked twice: its targets' loads are not known
+        here, and each detour pays for the body again.
+        """
+        is_far = choice.candidate.peer.region != self.settings.region
+        if is_far or len(exchange.busy) >= _MOST_DETOURS:
+            return 0
+        return choice.bound_s * BOUND_FACTOR
+
     def _watch(
         self,
         exchange: Exchange,
@@ -407,13 +418,6 @@
         exchange.excluded.add(node)
 
 
-def _bound_s(exchange: Exchange, choice: Choice) -> float:
-    """Return the time above which a target passes a request on."""
-    if len(exchange.busy) >= _MOST_DETOURS:
-        return 0
-    return choice.bound_s * BOUND_FACTOR
-
-
 def _aim_left(exchange: Exchange, now: Seconds) -> float:
     aim_at = exchange.arrived_at + exchange.route.target_latency_s
     return max(0, aim_at - now)
--- a/packages/forwarding/bilberryrail/forwarding/ingress_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress_test.py
@@ -148,6 +148,14 @@
     assert bounds == [True, True, False]
 
 
+def test_request_to_another_region_has_no_bound(bench):
+    # Guards against a body that crosses the link between regions again for
+    # each busy target.
+    bench.ingress.book.update([peer(f'd{i}', region='away') for i in range(9)])
+    bench.arrive()
+    assert bench.forwards()[-1][1].bound_s == 0
+
+
 def test_refused_request_goes_to_another_target(bench):
     # Guards against a refusal while other targets are free.
     bench.arrive(idempotent=False)
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -215,7 +215,7 @@
         )
         is_hopeless = now + wait_s + busy_s > work.expires_at
         if is_hopeless or len(self.queue) >= most:
-            self._refuse(work, Refusal.BUSY, wait_s)
+            self._refuse(work, Refusal.LATE, wait_s)
             return
         if self._misses_aim(work, Seconds(now + wait_s + busy_s)):
             work.is_late = True
--- a/packages/forwarding/bilberryrail/forwarding/target_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/target_test.py
@@ -199,7 +199,7 @@
     # Guards against requests that wait in vain until their deadline.
     bench.offer(*range(1, 9))
     bench.offer(9, remaining_s=0.04)
-    assert bench.port.refusals() == [Refusal.BUSY]
+    assert bench.port.refusals() == [Refusal.LATE]
 
 
 def test_request_is_refused_when_its_time_runs_out_in_the_queue(bench):
