Try another target in time for the aim

Cause: a second attempt of an idempotent request started after three times the expected duration, mostly when its aim was missed already. Change: it starts when an answer elsewhere can still meet the aim, if most answers have come by then and the other target has room.

--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -308,23 +308,43 @@
         choice: Choice,
         now: Seconds,
     ) -> None:
-        """Look again when the answer is late."""
+        """Look again when the answer is late.
+
+        A second attempt in time for the aim is best; another look follows
+        when the answer is much too late.
+        """
         if not exchange.route.idempotent:
             return
         hedge = self.settings.hedge
-        late_s = max(hedge.least_s, hedge.expected_factor * choice.expected_s)
+        expected_s = choice.expected_s
+        in_time_s = _aim_left(exchange, now) - expected_s
+        if in_time_s >= hedge.aim_factor * expected_s:
+            self._look_after(exchange, in_time_s, is_in_time=True)
+        late_s = max(hedge.least_s, hedge.expected_factor * expected_s)
         left_s = exchange.expires_at - now
-        if late_s + choice.expected_s * _HEDGE_SHARE < left_s:
-            timer = self.clock.callLater(late_s, self._hedge, exchange)
-            exchange.timers.append(timer)
+        if late_s + expected_s * _HEDGE_SHARE < left_s:
+            self._look_after(exchange, late_s, is_in_time=False)
+
+    def _look_after(
+        self,
+        exchange: Exchange,
+        pause_s: float,
+        *,
+        is_in_time: bool,
+    ) -> None:
+        timer = self.clock.callLater(pause_s, self._hedge, exchange, is_in_time)
+        exchange.timers.append(timer)
 
-    def _hedge(self, exchange: Exchange) -> None:
+    def _hedge(self, exchange: Exchange, is_in_time: bool) -> None:  # noqa: FBT001
+        """Try another target, unless it has no room or is too late as well."""
         if exchange.is_over or len(exchange.attempts) != 1:
             return
         now = self._now()
         choice = self._choose(exchange, now)
         if choice is None or choice.candidate.is_closed(now):
             return
+        if is_in_time and choice.expected_s > _aim_left(exchange, now):
+            return
         exchange.reached.update(
             attempt.node for attempt in exchange.attempts.values()
         )
--- a/packages/forwarding/bilberryrail/forwarding/ingress_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress_test.py
@@ -156,6 +156,31 @@
     assert bench.forwards()[-1][1].bound_s == 0
 
 
+def test_late_answer_is_tried_elsewhere_in_time_for_the_aim(bench):
+    # Guards against a second attempt that starts when the aim is missed: the
+    # first host may be slow for a moment.
+    bench.allow_repeats()
+    for node in 'abc':
+        bench.ingress.book.reported(NodeId(node), LOAD, Seconds(100))
+    bench.arrive()
+    bench.clock.advance(0.29)
+    assert len(bench.forwards()) == 2
+
+
+def test_no_second_attempt_in_time_where_there_is_no_room(bench):
+    # Guards against second attempts that fill an overloaded service.
+    bench.allow_repeats()
+    idle = BackendLoad(limit=8, service_s=0.1)
+    for node in 'abc':
+        bench.ingress.book.reported(NodeId(node), idle, Seconds(100))
+    bench.arrive()
+    full = BackendLoad(running=40, limit=8, service_s=0.1)
+    for node in 'abc':
+        bench.ingress.book.reported(NodeId(node), full, Seconds(100))
+    bench.clock.advance(0.25)
+    assert len(bench.forwards()) == 1
+
+
 def test_refused_request_goes_to_another_target(bench):
     # Guards against a refusal while other targets are free.
     bench.arrive(idempotent=False)
--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -62,11 +62,15 @@
     ----------
     expected_factor
         Multiple of the expected time after which a request is late.
+    aim_factor
+        The same for a request whose second attempt can meet its aim; most
+        answers have come by then.
     least_s
         Shortest time until a second attempt.
     """
 
     expected_factor: float = 3.0
+    aim_factor: float = 1.2
     least_s: float = 0.03
 
 
--- a/packages/gateway/bilberryrail/gateway/reading_duty.py
+++ b/packages/gateway/bilberryrail/gateway/reading_duty.py
@@ -1,6 +1,5 @@
 """Whether this node reads the store, or hears from nodes that do."""
 
-import math
 from typing import Any, Final
 
 from bilberryrail.forwarding.membership import Membership
@@ -21,7 +20,8 @@
         self.clock = clock
         self.membership = membership
         self.links = links
-        self.heard_at = -math.inf
+        # Readers may need a moment to be linked.
+        self.heard_at = clock.seconds()
 
     @property
     def is_chosen(self) -> bool:
