Let nodes settle before they choose readers of the store

Cause: a node that knows no other takes its zone for a small one, so in a fleet that starts together every node followed the store for one long call. Change: no node reads on in its first second.

--- a/packages/gateway/bilberryrail/gateway/gossip_test.py
+++ b/packages/gateway/bilberryrail/gateway/gossip_test.py
@@ -23,7 +23,11 @@
     PROGRESS_INTERVAL_S,
     Gossip,
 )
-from bilberryrail.gateway.reading_duty import UNHEARD_S, ReadingDuty
+from bilberryrail.gateway.reading_duty import (
+    SETTLE_S,
+    UNHEARD_S,
+    ReadingDuty,
+)
 
 
 class FakeLinks:
@@ -170,6 +174,16 @@
     assert duty.is_due
 
 
+def test_node_that_has_just_started_does_not_read_on(bench):
+    # Guards against a fleet that starts together and whose nodes all follow
+    # the store, since none knows another yet.
+    clock = Clock()
+    duty = ReadingDuty(clock, Membership(peer('n1')), bench.links)
+    assert not duty.is_due
+    clock.advance(SETTLE_S)
+    assert duty.is_due
+
+
 def test_reader_of_another_zone_covers_nobody_here(bench):
     # Guards against a zone that takes a distant reader for its own.
     enlarge(bench, first='a')
--- a/packages/gateway/bilberryrail/gateway/reading_duty.py
+++ b/packages/gateway/bilberryrail/gateway/reading_duty.py
@@ -10,6 +10,10 @@
 #: itself. A change has to be in force everywhere within 3 s.
 UNHEARD_S: Final = 1.6
 
+#: Time after the start in which nodes find and link each other. Until then
+#: every node would choose itself, as it knows no other.
+SETTLE_S: Final = 1.0
+
 
 class ReadingDuty:
     """Decides who reads the store in this node's availability zone."""
@@ -20,8 +24,8 @@
         self.clock = clock
         self.membership = membership
         self.links = links
-        # Readers may need a moment to be linked.
-        self.heard_at = clock.seconds()
+        self.started_at = clock.seconds()
+        self.heard_at = self.started_at
 
     @property
     def is_chosen(self) -> bool:
@@ -39,7 +43,9 @@
 
     @property
     def is_due(self) -> bool:
-        """Whether this node has to read."""
+        """Whether this node has to read on."""
+        if self.clock.seconds() - self.started_at < SETTLE_S:
+            return False
         return not self.is_covered or self.is_chosen
 
     def heard(self) -> None:
