Start second attempts as late as an undisturbed one may; part modules

Cause: second attempts started by the mean expected time, which on hosts with much noise left no room before the aim, so none was made. Change: a second attempt starts when its usual, undisturbed time is left before the aim, at a target that is fast enough at that moment. Hedging, Admission and Estimates are modules of their own.

--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/admission.py
@@ -0,0 +1,100 @@
+"""Which requests wait at a target, and for how long."""
+
+from typing import Final
+
+from bilberryrail.core.ids import Seconds
+from bilberryrail.forwarding.records import Refusal
+from bilberryrail.forwarding.room import Room
+from bilberryrail.forwarding.settings import AdmissionSettings
+from bilberryrail.forwarding.work_queue import Work, WorkQueue
+
+#: Part of its time for which a late request waits for a free slot. Longer
+#: waits are rarely rewarded, and keep the caller from coming back.
+_LATE_SHARE: Final = 0.25
+
+#: Most requests kept in the queue for a limit, whatever the limit is.
+_LEAST_QUEUE: Final = 4
+
+
+class Admission:
+    """Keeps a queue that answers as many requests in time as it can.
+
+    In an overload a queue ordered by age answers everything just too late.
+    Here a request that will miss its aim goes after those that will not, and
+    is refused while its caller still has time to come back.
+    """
+
+    def __init__(
+        self,
+        settings: AdmissionSettings,
+        room: Room,
+        queue: WorkQueue,
+    ) -> None:
+        self.settings = settings
+        self.room = room
+        self.queue = queue
+        self.backend = room.backend
+
+    def busy_s(self, work: Work, now: Seconds) -> float:
+        """Return how long a request will run if it is sent now."""
+        return self.backend.expected_s(now, work.message.route)
+
+    def wait_s(self, work: Work, now: Seconds) -> float:
+        """Return how long a request will wait for a slot."""
+        ahead = self.queue.ahead_of(work)
+        return self.room.expected_wait_s(ahead, now)
+
+    def is_too_slow(self, work: Work, now: Seconds) -> bool:
+        """Tell whether another target would answer sooner than a free slot."""
+        bound_s = work.message.bound_s
+        return bound_s > 0 and self.busy_s(work, now) > bound_s
+
+    def judge(self, work: Work, now: Seconds) -> Refusal | None:
+        """Say why a request may not wait here, if so; mark late ones."""
+        busy_s = self.busy_s(work, now)
+        needed_s = self.wait_s(work, now) + busy_s
+        bound_s = work.message.bound_s
+        if bound_s and needed_s > bound_s:
+            return Refusal.BUSY
+        per_slot = self.settings.queue_per_slot
+        most = max(_LEAST_QUEUE, self.backend.limit() * per_slot)
+        if now + needed_s > work.expires_at or len(self.queue) >= most:
+            return Refusal.LATE
+        if self._misses_aim(work, Seconds(now + needed_s)):
+            work.is_late = True
+            if now + self.wait_s(work, now) > _late_until(work):
+                return Refusal.LATE
+        return None
+
+    def turn_away(self, now: Seconds) -> list[Work]:
+        """Move late requests back; remove those that have waited enough."""
+        removed = []
+        for work in tuple(self.queue):
+            self._mark_late(work, now)
+            if work.is_late and now > _late_until(work):
+                self.queue.cancel(work)
+                removed.append(work)
+        return removed
+
+    def _mark_late(self, work: Work, now: Seconds) -> None:
+        if not work.is_late:
+            answer_at = Seconds(now + self.busy_s(work, now))
+            if self._misses_aim(work, answer_at):
+                work.is_late = True
+                self.queue.push(work)
+
+    def _misses_aim(self, work: Work, answer_at: Seconds) -> bool:
+        """Tell whether an answer comes too late to be worth most.
+
+        Short requests are served all the same: they delay others little, and
+        are often calls of requests that run.
+        """
+        if answer_at <= work.is_worth_most_until:
+            return False
+        return not self.backend.pace.is_short(work.message.route)
+
+
+def _late_until(work: Work) -> Seconds:
+    """Return when a late request has waited long enough."""
+    time_s = work.expires_at - work.arrived_at
+    return Seconds(work.arrived_at + time_s * _LATE_SHARE)
--- a/packages/forwarding/bilberryrail/forwarding/exchanges.py
+++ b/packages/forwarding/bilberryrail/forwarding/exchanges.py
@@ -5,13 +5,14 @@
 from typing import Any
 
 from bilberryrail.core.ids import AttemptId, NodeId, Seconds, ServiceId
+from bilberryrail.forwarding.candidates import Candidate
 from bilberryrail.forwarding.records import (
     ConfigVersion,
     HttpAnswer,
     HttpRequest,
     Route,
 )
-from bilberryrail.forwarding.selection import Candidate, CandidateBook
+from bilberryrail.forwarding.selection import CandidateBook
 
 
 @dataclass(slots=True, eq=False)
@@ -63,6 +64,11 @@
     is_over: bool = False
     timers: list[Any] = field(default_factory=list)
 
+    def aim_left_s(self, now: Seconds) -> float:
+        """Return the time left in which an answer is worth most."""
+        aim_at = self.arrived_at + self.route.target_latency_s
+        return max(0, aim_at - now)
+
 
 class AttemptTable:
     """Attempts without an outcome; keeps the book of targets in step."""
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -12,6 +12,7 @@
     AttemptTable,
     Exchange,
 )
+from bilberryrail.forwarding.hedging import Hedging
 from bilberryrail.forwarding.messages import (
     Answered,
     Cancel,
@@ -61,9 +62,6 @@
 #: Width of the random factor that spreads returning clients over time.
 _RETRY_SPREAD: Final = 0.5
 
-#: Part of the remaining time that a second attempt needs at least.
-_HEDGE_SHARE: Final = 1.5
-
 
 class TargetLinks(Protocol):
     """Sends messages to targets."""
@@ -99,6 +97,7 @@
         self.repeats = RepeatBudget(settings.repeats)
         self.exchanges: set[Exchange] = set()
         self.attempts = AttemptTable(book)
+        self.hedging = Hedging(settings.hedge, clock, book, self._try_elsewhere)
         self.on_decision: Callable[..., None] = _ignore
         self.on_finished: Callable[[Exchange, int], None] = _ignore_end
         self._ids = itertools.count(1)
@@ -166,7 +165,7 @@
         if attempt is None:
             return
         exchange = attempt.exchange
-        self.book.learned(exchange.route.route, reply.usual_s)
+        self.book.estimates.learned(exchange.route.route, reply.usual_s)
         exchange.reached.add(node)
         status = reply.answer.status
         is_error = status >= HTTPStatus.INTERNAL_SERVER_ERROR
@@ -241,7 +240,7 @@
             exchange.service,
             exchange.route.route,
             exchange.route.home_regions,
-            _aim_left(exchange, now),
+            exchange.aim_left_s(now),
         )
         return self.book.choose(
             demand,
@@ -277,73 +276,31 @@
             expected_s=round(choice.expected_s, 4),
             report_age_s=round(now - choice.candidate.load_at, 3),
         )
-        self._watch(exchange, choice, now)
+        self.hedging.watch(exchange, choice, now)
         message = Forward(
             attempt=attempt.attempt,
             request_id=exchange.request_id,
             route=exchange.route.route,
             request=exchange.request,
             remaining_s=max(0, exchange.expires_at - now),
-            aim_s=_aim_left(exchange, now),
+            aim_s=exchange.aim_left_s(now),
             bound_s=self._bound_s(exchange, choice),
             rank=exchange.route.priority,
             idempotent=exchange.route.idempotent,
         )
         self.links.send(node, message)
 
-    def _bound_s(self, exchange: Exchange, choice: Choice) -> float:
-        """Return the time above which a target passes a request on.
-
-        Another region is not asked twice: its targets' loads are not known
-        here, and each detour pays for the body again.
-        """
-        is_far = choice.candidate.peer.region != self.settings.region
-        if is_far or len(exchange.busy) >= _MOST_DETOURS:
-            return 0
-        return choice.bound_s * BOUND_FACTOR
-
-    def _watch(
-        self,
-        exchange: Exchange,
-        choice: Choice,
-        now: Seconds,
-    ) -> None:
-        """Look again when the answer is late.
-
-        A second attempt in time for the aim is best; another look follows
-        when the answer is much too late.
-        """
-        if not exchange.route.idempotent:
-            return
-        hedge = self.settings.hedge
-        expected_s = choice.expected_s
-        in_time_s = _aim_left(exchange, now) - expected_s
-        if in_time_s >= hedge.aim_factor * expected_s:
-            self._look_after(exchange, in_time_s, is_in_time=True)
-        late_s = max(hedge.least_s, hedge.expected_factor * expected_s)
-        left_s = exchange.expires_at - now
-        if late_s + expected_s * _HEDGE_SHARE < left_s:
-            self._look_after(exchange, late_s, is_in_time=False)
-
-    def _look_after(
+    def _try_elsewhere(
         self,
         exchange: Exchange,
-        pause_s: float,
-        *,
-        is_in_time: bool,
+        is_worthwhile: Callable[[Choice], bool],
     ) -> None:
-        timer = self.clock.callLater(pause_s, self._hedge, exchange, is_in_time)
-        exchange.timers.append(timer)
-
-    def _hedge(self, exchange: Exchange, is_in_time: bool) -> None:  # noqa: FBT001
-        """Try another target, unless it has no room or is too late as well."""
-        if exchange.is_over or len(exchange.attempts) != 1:
-            return
+        """Send a request to another target while the first one runs it."""
         now = self._now()
         choice = self._choose(exchange, now)
         if choice is None or choice.candidate.is_closed(now):
             return
-        if is_in_time and choice.expected_s > _aim_left(exchange, now):
+        if not is_worthwhile(choice):
             return
         exchange.reached.update(
             attempt.node for attempt in exchange.attempts.values()
@@ -351,6 +308,17 @@
         if self._may_repeat(exchange):
             self._send(exchange, choice, now, is_repeat=True)
 
+    def _bound_s(self, exchange: Exchange, choice: Choice) -> float:
+        """Return the time above which a target passes a request on.
+
+        Another region is not asked twice: its targets' loads are not known
+        here, and each detour pays for the body again.
+        """
+        is_far = choice.candidate.peer.region != self.settings.region
+        if is_far or len(exchange.busy) >= _MOST_DETOURS:
+            return 0
+        return choice.bound_s * BOUND_FACTOR
+
     def _may_repeat(self, exchange: Exchange) -> bool:
         """Tell whether another backend server may get the request."""
         if len(exchange.reached) >= exchange.route.max_attempts:
@@ -438,11 +406,6 @@
         exchange.excluded.add(node)
 
 
-def _aim_left(exchange: Exchange, now: Seconds) -> float:
-    aim_at = exchange.arrived_at + exchange.route.target_latency_s
-    return max(0, aim_at - now)
-
-
 def _ignore(event: str, exchange: Exchange, **fields: object) -> None:
     """Stand in for a log."""
 
--- a/packages/forwarding/bilberryrail/forwarding/ingress_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress_test.py
@@ -151,7 +151,9 @@
 def test_request_to_another_region_has_no_bound(bench):
     # Guards against a body that crosses the link between regions again for
     # each busy target.
-    bench.ingress.book.update([peer(f'd{i}', region='away') for i in range(9)])
+    bench.ingress.book.update(
+        [peer(f'd{number}', region='away') for number in range(9)]
+    )
     bench.arrive()
     assert bench.forwards()[-1][1].bound_s == 0
 
--- a/packages/forwarding/bilberryrail/forwarding/selection.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -13,7 +13,7 @@
     Seconds,
     ServiceId,
 )
-from bilberryrail.forwarding.pace import duration_s
+from bilberryrail.forwarding.candidates import Candidate, Estimates
 from bilberryrail.forwarding.records import (
     BackendLoad,
     BackendPhase,
@@ -22,37 +22,13 @@
 )
 from bilberryrail.forwarding.settings import ForwardingSettings
 
-#: Time to an answer that is assumed while no target of a service has reported
-#: one.
-_UNKNOWN_SERVICE_S: Final = 0.05
-
-#: Weight of the newest report in the usual time of a service.
-_SERVICE_WEIGHT: Final = 0.1
-
-#: Weight of the newest report in the usual slowdown of a target.
-_USUAL_WEIGHT: Final = 0.05
-
-#: Slowdown assumed for a target whose reports are too old.
-_FIRST_USUAL: Final = 1.3
-
 #: Width of the random factor that keeps nodes with the same reports from
 #: choosing the same target.
 _SPREAD: Final = 0.2
 
-#: Multiple of its time to an answer that a failed request costs the caller.
-_ERROR_COST: Final = 8.0
-
-#: Slowdown by the other requests of a backend server below its limit, at the
-#: limit.
-_SHARED_HOST: Final = 0.3
-
 #: Shortest time to an answer that is expected, in seconds.
 _LEAST_EXPECTED_S: Final = 0.001
 
-#: Time for which a report that a target takes nothing keeps requests away. It
-#: refuses at once if that is still so.
-CLOSED_MEMORY_S: Final = 0.5
-
 #: Time after a refusal for lack of room in another region in which this one
 #: does not ask there again; its load is not known here.
 CROWDED_REGION_S: Final = 0.5
@@ -61,46 +37,21 @@
 _NO_ROOM_S: Final = 10.0
 
 
-@dataclass(slots=True)
-class Candidate:
-    """A target as this node knows it.
-
-    Attributes
-    ----------
-    sent
-        Requests sent since the newest report.
-    in_flight
-        Requests without an outcome.
-    avoid_until
-        Until when it is avoided after a failure.
-    """
-
-    peer: Peer
-    load: BackendLoad = field(default_factory=BackendLoad)
-    load_at: Seconds = Seconds(-math.inf)
-    usual_slowdown: float = _FIRST_USUAL
-    sent: int = 0
-    in_flight: int = 0
-    avoid_until: Seconds = Seconds(-math.inf)
-
-    def is_closed(self, now: Seconds) -> bool:
-        """Tell whether it has just reported that it takes nothing."""
-        is_fresh = now - self.load_at < CLOSED_MEMORY_S
-        return is_fresh and not self.load.limit
-
-
 @dataclass(frozen=True, slots=True)
 class Choice:
     """A target and how long its answer is expected to take.
 
     Attributes
     ----------
+    soonest_s
+        Time to an answer if the target goes on at its present speed.
     bound_s
         Expected time of the next best target; zero if there is none.
     """
 
     candidate: Candidate
     expected_s: float
+    soonest_s: float
     bound_s: float
     reason: str
 
@@ -132,8 +83,8 @@
         Availability zones that operators have taken out.
     crowded_until
         Until when a service is taken to have no room in a region.
-    service_s, route_s
-        Usual time to an answer of each service and of each route.
+    estimates
+        Expected times to an answer.
     """
 
     def __init__(self, settings: ForwardingSettings, random: Random) -> None:
@@ -142,8 +93,7 @@
         self.candidates: dict[NodeId, Candidate] = {}
         self.by_service: dict[ServiceId, list[Candidate]] = {}
         self.zones_out: frozenset[AvailabilityZoneId] = frozenset()
-        self.service_s: dict[ServiceId, float] = {}
-        self.route_s: dict[RouteId, float] = {}
+        self.estimates = Estimates(settings.placement.slowdown_memory_s)
         self.crowded_until: dict[tuple[ServiceId, RegionId], Seconds] = {}
 
     def update(self, peers: Iterable[Peer]) -> None:
@@ -164,17 +114,8 @@
         candidate = self.candidates.get(node)
         if candidate is None:
             return
-        if load.limit:
-            change = load.slowdown - candidate.usual_slowdown
-            candidate.usual_slowdown += _USUAL_WEIGHT * change
-        candidate.load = load
-        candidate.load_at = now
-        candidate.sent = 0
-        if load.service_s:
-            service = candidate.peer.service
-            usual_s = self.service_s.get(service, load.service_s)
-            change_s = load.service_s - usual_s
-            self.service_s[service] = usual_s + _SERVICE_WEIGHT * change_s
+        candidate.reported(load, now)
+        self.estimates.reported(candidate.peer.service, load.service_s)
 
     def crowded(self, node: NodeId, now: Seconds) -> None:
         """Note a refusal for lack of room."""
@@ -184,13 +125,6 @@
             until = Seconds(now + CROWDED_REGION_S)
             self.crowded_until[peer.service, peer.region] = until
 
-    def learned(self, route: RouteId, usual_s: float) -> None:
-        """Take a target's usual time for the requests of a route."""
-        if usual_s:
-            known_s = self.route_s.get(route, usual_s)
-            change_s = usual_s - known_s
-            self.route_s[route] = known_s + _SERVICE_WEIGHT * change_s
-
     def unreachable(self, node: NodeId) -> None:
         """Avoid a target until a link to it is open again."""
         candidate = self.candidates.get(node)
@@ -254,56 +188,18 @@
         return Choice(
             best,
             max(_LEAST_EXPECTED_S, best_s),
+            self.estimates.soonest_s(best, demand.route, now),
             bound_s,
             'best' if calm else 'all-avoided',
         )
 
-    def expected_s(
-        self,
-        candidate: Candidate,
-        route: RouteId,
-        now: Seconds,
-    ) -> float:
-        """Estimate the time to an answer for one more request."""
-        load = candidate.load
-        weight = self._freshness(candidate, now)
-        usual = candidate.usual_slowdown
-        slowdown = usual + (load.slowdown - usual) * weight
-        reported = (load.running + load.waiting) * weight
-        occupied = max(reported + candidate.sent, candidate.in_flight)
-        usual_s = load.service_s or self._usual_s(candidate)
-        limit = max(1, load.limit)
-        waiting = max(0, occupied + 1 - limit)
-        expected_s = usual_s * slowdown * waiting / limit
-        running_s = duration_s(
-            self.route_s.get(route, usual_s), slowdown, usual
-        )
-        expected_s += running_s * (1 + _SHARED_HOST * min(1, occupied / limit))
-        return expected_s * (1 + load.error_share * _ERROR_COST)
-
-    def _usual_s(self, candidate: Candidate) -> float:
-        """Return the usual time of a target that has reported none.
-
-        It is that of its service; a guess that is too short would send all
-        requests to targets that nobody has heard of.
-        """
-        service = candidate.peer.service
-        return self.service_s.get(service, _UNKNOWN_SERVICE_S)
-
-    def _freshness(self, candidate: Candidate, now: Seconds) -> float:
-        """Weigh a report by its age, from 0 to 1."""
-        age = now - candidate.load_at
-        if math.isinf(age):
-            return 0
-        return math.exp(-age / self.settings.placement.slowdown_memory_s)
-
     def _score(
         self,
         candidate: Candidate,
         route: RouteId,
         now: Seconds,
     ) -> float:
-        score = self.expected_s(candidate, route, now)
+        score = self.estimates.expected_s(candidate, route, now)
         score += self._distance_s(candidate)
         if candidate.is_closed(now):
             score += _NO_ROOM_S
--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -62,15 +62,14 @@
     ----------
     expected_factor
         Multiple of the expected time after which a request is late.
-    aim_factor
-        The same for a request whose second attempt can meet its aim; most
-        answers have come by then.
+    usual_factor
+        Multiple of the usual time that a second attempt needs to meet the aim.
     least_s
         Shortest time until a second attempt.
     """
 
     expected_factor: float = 3.0
-    aim_factor: float = 1.2
+    usual_factor: float = 1.1
     least_s: float = 0.03
 
 
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -6,6 +6,7 @@
 from typing import Any, Final, Protocol
 
 from bilberryrail.core.ids import AttemptId, NodeId, Seconds
+from bilberryrail.forwarding.admission import Admission
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.messages import (
     Answered,
@@ -30,13 +31,6 @@
 #: Part of the usual duration that must be left for a request to be sent.
 _LEAST_SHARE_LEFT: Final = 0.5
 
-#: Part of its time for which a late request waits for a free slot. Longer
-#: waits are rarely rewarded, and keep the caller from coming back.
-_LATE_SHARE: Final = 0.25
-
-#: Most requests kept in the queue for a limit, whatever the limit is.
-_LEAST_QUEUE: Final = 4
-
 #: Interval at which a queue is looked at that waits for something other than
 #: a request's end, in seconds.
 _QUEUE_CHECK_S: Final = 0.05
@@ -89,6 +83,7 @@
         self.port = port
         self.queue = WorkQueue()
         self.room = Room(backend)
+        self.admission = Admission(settings.admission, self.room, self.queue)
         self.by_origin: dict[Origin, Work] = {}
         self.by_number: dict[int, Work] = {}
         self.on_decision: Callable[..., None] = _ignore
@@ -123,8 +118,7 @@
             return
         self.by_origin[origin] = work
         if not len(self.queue) and self.room.is_free(now):
-            bound_s = message.bound_s
-            if bound_s and self._busy_s(work, now) > bound_s:
+            if self.admission.is_too_slow(work, now):
                 self._refuse(work, Refusal.SLOW, 0)
             else:
                 self._send(work, now)
@@ -197,32 +191,13 @@
     def _now(self) -> Seconds:
         return Seconds(self.clock.seconds())
 
-    def _busy_s(self, work: Work, now: Seconds) -> float:
-        """Return how long a request will run if it is sent now."""
-        return self.backend.expected_s(now, work.message.route)
-
     def _wait(self, work: Work, now: Seconds) -> None:
         """Queue a request if it is likely to be served in time."""
-        busy_s = self._busy_s(work, now)
-        wait_s = self._expected_wait_s(work, now)
-        bound_s = work.message.bound_s
-        if bound_s and wait_s + busy_s > bound_s:
-            self._refuse(work, Refusal.BUSY, wait_s)
-            return
-        most = max(
-            _LEAST_QUEUE,
-            self.backend.limit() * self.settings.admission.queue_per_slot,
-        )
-        is_hopeless = now + wait_s + busy_s > work.expires_at
-        if is_hopeless or len(self.queue) >= most:
-            self._refuse(work, Refusal.LATE, wait_s)
+        reason = self.admission.judge(work, now)
+        wait_s = self.admission.wait_s(work, now)
+        if reason is not None:
+            self._refuse(work, reason, wait_s)
             return
-        if self._misses_aim(work, Seconds(now + wait_s + busy_s)):
-            work.is_late = True
-            wait_s = self._expected_wait_s(work, now)
-            if now + wait_s > _late_until(work):
-                self._refuse(work, Refusal.LATE, wait_s)
-                return
         self.queue.push(work)
         self.on_decision(
             'queue',
@@ -232,20 +207,6 @@
         )
         self._schedule_check()
 
-    def _expected_wait_s(self, work: Work, now: Seconds) -> float:
-        ahead = self.queue.ahead_of(work)
-        return self.room.expected_wait_s(ahead, now)
-
-    def _misses_aim(self, work: Work, answer_at: Seconds) -> bool:
-        """Tell whether an answer comes too late to be worth most.
-
-        Short requests are served all the same: they delay others little, and
-        are often calls of requests that run.
-        """
-        if answer_at <= work.is_worth_most_until:
-            return False
-        return not self.backend.pace.is_short(work.message.route)
-
     def _pump(self) -> None:
         """Send what has room, and refuse what came too late."""
         now = self._now()
@@ -255,7 +216,8 @@
                 self.queue.cancel(work)
                 self._refuse(work, reason, UNKNOWN_WAIT_S)
             return
-        self._sort_out_late(now)
+        for late in self.admission.turn_away(now):
+            self._refuse(late, Refusal.LATE, self.admission.wait_s(late, now))
         following = self.queue.peek()
         while following is not None:
             if not self._take(following, now):
@@ -265,7 +227,7 @@
 
     def _take(self, work: Work, now: Seconds) -> bool:
         """Take the next request from the queue, if it can leave it now."""
-        least_s = self._busy_s(work, now) * _LEAST_SHARE_LEFT
+        least_s = self.admission.busy_s(work, now) * _LEAST_SHARE_LEFT
         if now + least_s > work.expires_at:
             self.queue.pop()
             self._refuse(work, Refusal.DEADLINE, UNKNOWN_WAIT_S)
@@ -276,20 +238,6 @@
         self._send(work, now)
         return True
 
-    def _sort_out_late(self, now: Seconds) -> None:
-        """Move late requests back, and refuse those that have waited enough."""
-        for work in tuple(self.queue):
-            if not work.is_late:
-                answer_at = Seconds(now + self._busy_s(work, now))
-                if not self._misses_aim(work, answer_at):
-                    continue
-                work.is_late = True
-                self.queue.push(work)
-            if now > _late_until(work):
-                self.queue.cancel(work)
-                wait_s = self._expected_wait_s(work, now)
-                self._refuse(work, Refusal.LATE, wait_s)
-
     def _send(self, work: Work, now: Seconds) -> None:
         instance = self.backend.instance
         if instance is None:
@@ -346,11 +294,5 @@
         self._pump()
 
 
-def _late_until(work: Work) -> Seconds:
-    """Return when a late request has waited long enough."""
-    time_s = work.expires_at - work.arrived_at
-    return Seconds(work.arrived_at + time_s * _LATE_SHARE)
-
-
 def _ignore(event: str, work: Work, **fields: object) -> None:
     """Stand in for a log."""
