--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -48,7 +48,7 @@
         Age up to which a health check proves that a backend server is warm.
     """
 
-    slot_share: float = 0.84
+    slot_share: float = 0.8
     queue_per_slot: float = 3.0
     cold_factor: float = 1.5
     cold_slack: float = 5.0
