--- a/dev.py
+++ b/dev.py
@@ -39,6 +39,7 @@
     'cli': [['-m', 'bilberryrail.cli']],
     'bench': [['-m', 'bilberryrail.bench']],
     'soak': [['-m', 'bilberryrail.soak']],
+    'rounds': [['-m', 'bilberryrail.report']],
 }
 
 
--- /dev/null
+++ b/packages/report/bilberryrail/report/__init__.py
@@ -0,0 +1,1 @@
+"""Tables and plots of the rounds in the journal."""
