--- a/packages/forwarding/bilberryrail/forwarding/admission.py
+++ b/packages/forwarding/bilberryrail/forwarding/admission.py
@@ -1,5 +1,6 @@
 """Which requests wait at a target, and for how long."""
 
+from dataclasses import dataclass
 from typing import Final
 
 from bilberryrail.core.ids import Seconds
@@ -16,6 +17,22 @@
 _LEAST_QUEUE: Final = 4
 
 
+@dataclass(frozen=True, slots=True)
+class QueueVerdict:
+    """Whether a request may wait.
+
+    Attributes
+    ----------
+    wait_s
+        Expected time until a slot is free for it, in seconds.
+    refusal
+        Why it may not wait; None if it may.
+    """
+
+    wait_s: float
+    refusal: Refusal | None = None
+
+
 class Admission:
     """Keeps a queue that answers as many requests in time as it can.
 
@@ -49,22 +66,23 @@
         bound_s = work.message.bound_s
         return bound_s > 0 and self.busy_s(work, now) > bound_s
 
-    def judge(self, work: Work, now: Seconds) -> Refusal | None:
-        """Say why a request may not wait here, if so; mark late ones."""
-        busy_s = self.busy_s(work, now)
-        needed_s = self.wait_s(work, now) + busy_s
+    def judge(self, work: Work, now: Seconds) -> QueueVerdict:
+        """Say whether a request may wait here; mark it if it is late."""
+        wait_s = self.wait_s(work, now)
+        needed_s = wait_s + self.busy_s(work, now)
         bound_s = work.message.bound_s
         if bound_s and needed_s > bound_s:
-            return Refusal.BUSY
+            return QueueVerdict(wait_s, Refusal.BUSY)
         per_slot = self.settings.queue_per_slot
         most = max(_LEAST_QUEUE, self.backend.limit() * per_slot)
         if now + needed_s > work.expires_at or len(self.queue) >= most:
-            return Refusal.LATE
+            return QueueVerdict(wait_s, Refusal.LATE)
         if self._misses_aim(work, Seconds(now + needed_s)):
             work.is_late = True
-            if now + self.wait_s(work, now) > _late_until(work):
-                return Refusal.LATE
-        return None
+            wait_s = self.wait_s(work, now)
+            if now + wait_s > _late_until(work):
+                return QueueVerdict(wait_s, Refusal.LATE)
+        return QueueVerdict(wait_s)
 
     def turn_away(self, now: Seconds) -> list[Work]:
         """Move late requests back; remove those that have waited enough."""
--- a/packages/forwarding/bilberryrail/forwarding/candidates.py
+++ b/packages/forwarding/bilberryrail/forwarding/candidates.py
@@ -2,7 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, TypeVar
 
 from bilberryrail.core.ids import Seconds, ServiceId
 from bilberryrail.forwarding.pace import duration_s
@@ -12,7 +12,7 @@
 #: one.
 _UNKNOWN_SERVICE_S: Final = 0.05
 
-#: Weight of the newest report in the usual time of a service.
+#: Weight of the newest report in the usual time of a service or a route.
 _SERVICE_WEIGHT: Final = 0.1
 
 #: Weight of the newest report in the usual slowdown of a target.
@@ -32,6 +32,8 @@
 #: refuses at once if that is still so.
 CLOSED_MEMORY_S: Final = 0.5
 
+_Key = TypeVar('_Key')
+
 
 @dataclass(slots=True)
 class Candidate:
@@ -93,17 +95,11 @@
 
     def reported(self, service: ServiceId, usual_s: float) -> None:
         """Take a target's usual time for the requests of a service."""
-        if usual_s:
-            known_s = self.service_s.get(service, usual_s)
-            change_s = usual_s - known_s
-            self.service_s[service] = known_s + _SERVICE_WEIGHT * change_s
+        _average(self.service_s, service, usual_s)
 
     def learned(self, route: RouteId, usual_s: float) -> None:
         """Take a target's usual time for the requests of a route."""
-        if usual_s:
-            known_s = self.route_s.get(route, usual_s)
-            change_s = usual_s - known_s
-            self.route_s[route] = known_s + _SERVICE_WEIGHT * change_s
+        _average(self.route_s, route, usual_s)
 
     def usual_s(self, service: ServiceId, route: RouteId) -> float:
         """Return the usual time to an answer to a route's request."""
@@ -171,3 +167,10 @@
         if math.isinf(age):
             return 0
         return math.exp(-age / self.memory_s)
+
+
+def _average(known: dict[_Key, float], key: _Key, usual_s: float) -> None:
+    """Let a report count in a usual time; zero reports nothing."""
+    if usual_s:
+        known_s = known.get(key, usual_s)
+        known[key] = known_s + _SERVICE_WEIGHT * (usual_s - known_s)
--- a/packages/forwarding/bilberryrail/forwarding/hedging.py
+++ b/packages/forwarding/bilberryrail/forwarding/hedging.py
@@ -49,7 +49,7 @@
         )
         in_time_s = exchange.aim_left_s(now) - usual_s
         if in_time_s >= usual_s:
-            self._look_after(exchange, in_time_s, is_in_time=True)
+            self._look_after(exchange, in_time_s, self._look_in_time)
         expected_s = choice.expected_s
         late_s = max(
             self.settings.least_s,
@@ -57,16 +57,14 @@
         )
         left_s = exchange.expires_at - now
         if late_s + expected_s * _TIME_LEFT < left_s:
-            self._look_after(exchange, late_s, is_in_time=False)
+            self._look_after(exchange, late_s, self._look_late)
 
     def _look_after(
         self,
         exchange: Exchange,
         pause_s: float,
-        *,
-        is_in_time: bool,
+        look: Callable[[Exchange], None],
     ) -> None:
-        look = self._look_in_time if is_in_time else self._look_late
         exchange.timers.append(self.clock.callLater(pause_s, look, exchange))
 
     def _look_in_time(self, exchange: Exchange) -> None:
--- a/packages/forwarding/bilberryrail/forwarding/readers.py
+++ b/packages/forwarding/bilberryrail/forwarding/readers.py
@@ -1,6 +1,6 @@
 """Which nodes of an availability zone read the store for the others."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
 from bilberryrail.core.ids import NodeId
@@ -15,6 +15,16 @@
 LEAST_ZONE_NODES: Final = 8
 
 
+def near_nodes(own: Peer, others: Iterable[Peer]) -> list[NodeId]:
+    """Return the other nodes of a node's availability zone."""
+    return [peer.node for peer in others if peer.zone == own.zone]
+
+
+def has_readers(near: Sequence[NodeId]) -> bool:
+    """Tell whether readers are chosen among a node and those near it."""
+    return len(near) + 1 >= LEAST_ZONE_NODES
+
+
 def is_reader(
     own: Peer,
     others: Iterable[Peer],
@@ -33,8 +43,8 @@
     is_up
         Tells whether a link to a node is open.
     """
-    near = [peer.node for peer in others if peer.zone == own.zone]
-    if len(near) + 1 < LEAST_ZONE_NODES:
+    near = near_nodes(own, others)
+    if not has_readers(near):
         return True
     before = sum(1 for node in near if node < own.node and is_up(node))
     return before < READERS
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -1,6 +1,6 @@
 """Routes, services and members that requests are forwarded by."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NewType
@@ -178,7 +178,6 @@
     BUSY = 'busy'
     SLOW = 'slow'
     LATE = 'late'
-    COLD = 'cold'
     NO_BACKEND = 'no-backend'
     DRAINING = 'draining'
     ZONE_OUT = 'zone-out'
@@ -240,7 +239,7 @@
         return find_header(self.headers, name)
 
 
-def find_header(headers: tuple[Header, ...], name: bytes) -> bytes | None:
+def find_header(headers: Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header; ``name`` is in lower case."""
     for key, text in headers:
         if key.lower() == name:
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -193,16 +193,15 @@
 
     def _wait(self, work: Work, now: Seconds) -> None:
         """Queue a request if it is likely to be served in time."""
-        reason = self.admission.judge(work, now)
-        wait_s = self.admission.wait_s(work, now)
-        if reason is not None:
-            self._refuse(work, reason, wait_s)
+        verdict = self.admission.judge(work, now)
+        if verdict.refusal is not None:
+            self._refuse(work, verdict.refusal, verdict.wait_s)
             return
         self.queue.push(work)
         self.on_decision(
             'queue',
             work,
-            wait_s=round(wait_s, 4),
+            wait_s=round(verdict.wait_s, 4),
             late=work.is_late,
         )
         self._schedule_check()
--- a/packages/forwarding/bilberryrail/forwarding/work_queue.py
+++ b/packages/forwarding/bilberryrail/forwarding/work_queue.py
@@ -70,7 +70,7 @@
         return self.size
 
     def __iter__(self) -> Iterator[Work]:
-        return (work for _, entry, work in self.entries if work.entry == entry)
+        return (entry[-1] for entry in self.entries if not self._is_void(entry))
 
     def push(self, work: Work) -> None:
         """Add a request, or move one whose place has changed."""
--- a/packages/gateway/bilberryrail/gateway/answer_reader.py
+++ b/packages/gateway/bilberryrail/gateway/answer_reader.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from bilberryrail.forwarding.records import Header
+from bilberryrail.forwarding.records import Header, find_header
 from bilberryrail.gateway.http_text import end_to_end
 
 #: Largest head that is read; a usual bound of HTTP clients.
@@ -51,10 +51,7 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header; ``name`` is in lower case."""
-        for key, text in self.headers:
-            if key.lower() == name:
-                return text
-        return None
+        return find_header(self.headers, name)
 
 
 class AnswerReader:
--- a/packages/gateway/bilberryrail/gateway/gossip.py
+++ b/packages/gateway/bilberryrail/gateway/gossip.py
@@ -8,7 +8,6 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.operators import OperatorState
-from bilberryrail.forwarding.readers import LEAST_ZONE_NODES
 from bilberryrail.forwarding.records import BackendLoad
 from bilberryrail.forwarding.target import Target
 from bilberryrail.gateway.link import Link
@@ -94,8 +93,8 @@
         if self._has_news:
             return
         self._has_news = True
-        is_first_word = self.duty.is_chosen and self._serves_zone()
-        delay_s = FIRST_WORD_DELAY_S if is_first_word else CHANGE_DELAY_S
+        is_first = self.duty.serves_zone
+        delay_s = FIRST_WORD_DELAY_S if is_first else CHANGE_DELAY_S
         self.reactor.callLater(delay_s, self._push_change)
 
     def heard(self, node: NodeId, progress: messages.Progress) -> None:
@@ -105,7 +104,7 @@
         own = self._progress()
         now = self.reactor.seconds()
         if progress.offset > own.offset or progress.news > own.news:
-            self._ask(node, now)
+            self._ask(node, own, now)
         if progress.offset < own.offset or progress.news < own.news:
             self._give(node, progress, now)
 
@@ -113,33 +112,24 @@
         return messages.Progress(
             self.operators.next_offset,
             self.membership.news,
-            reads=self._reads(),
+            reads=self.is_store_up() and self.duty.serves_zone,
         )
 
-    def _reads(self) -> bool:
-        return (
-            self.is_store_up() and self.duty.is_chosen and self._serves_zone()
-        )
-
-    def _serves_zone(self) -> bool:
-        """Tell whether other nodes of the zone rely on readers."""
-        return len(self._near()) + 1 >= LEAST_ZONE_NODES
-
-    def _near(self) -> list[NodeId]:
-        own = self.membership.own
-        others = self.membership.others()
-        return [peer.node for peer in others if peer.zone == own.zone]
-
     def _is_near(self, node: NodeId) -> bool:
         peer = self.membership.peers.get(node)
         return peer is not None and peer.zone == self.membership.own.zone
 
-    def _ask(self, node: NodeId, now: float) -> None:
+    def _ask(
+        self,
+        node: NodeId,
+        own: messages.Progress,
+        now: float,
+    ) -> None:
         is_early = now - self.started_at < STORE_FIRST_S
         if is_early or now - self._asked_at < ASK_INTERVAL_S:
             return
         self._asked_at = now
-        self.links.tell(node, self._progress())
+        self.links.tell(node, own)
 
     def _give(
         self,
@@ -163,7 +153,7 @@
         """
         self._has_news = False
         if not self.duty.is_due:
-            near = self._near()
+            near = self.duty.near()
             if near:
                 self.links.tell(self.random.choice(near), self._progress())
             return
@@ -182,7 +172,7 @@
         self.reactor.callLater(interval_s, self._push_progress)
         progress = self._progress()
         if progress.reads:
-            for reading in self._near():
+            for reading in self.duty.near():
                 self.links.tell(reading, progress)
             return
         if self.duty.is_covered:
--- a/packages/gateway/bilberryrail/gateway/http_channel.py
+++ b/packages/gateway/bilberryrail/gateway/http_channel.py
@@ -134,10 +134,12 @@
 
         Raises ``ChannelError`` if there is no whole answer in time.
         """
+        if find_header(headers, b'host') is None:
+            host = b'%b:%d' % (self.host.encode(), self.port)
+            headers = ((b'Host', host), *headers)
+        payload = request_bytes(method, target, headers, body)
         await self.lock.acquire()
-        asking = ensureDeferred(
-            self._ask(method, target, headers, body, timeout_s),
-        )
+        asking = ensureDeferred(self._ask(payload, timeout_s))
         asking.addBoth(self._released)
         return await asking
 
@@ -151,23 +153,7 @@
         if self.connection is not None:
             self.connection.fail('closed')
 
-    async def _ask(
-        self,
-        method: bytes,
-        target: bytes,
-        headers: tuple[Header, ...],
-        body: bytes,
-        timeout_s: float,
-    ) -> RawAnswer:
-        if find_header(headers, b'host') is None:
-            host = b'%b:%d' % (self.host.encode(), self.port)
-            headers = ((b'Host', host), *headers)
-        payload = request_bytes(
-            method,
-            target,
-            headers,
-            body,
-        )
+    async def _ask(self, payload: bytes, timeout_s: float) -> RawAnswer:
         connection = self.connection or self._open()
         waiting = connection.ask(payload)
         timer = self.reactor.callLater(
--- a/packages/gateway/bilberryrail/gateway/http_text.py
+++ b/packages/gateway/bilberryrail/gateway/http_text.py
@@ -33,7 +33,7 @@
 def end_to_end(headers: list[Header]) -> tuple[Header, ...]:
     """Drop the headers that concern only one connection, and the length."""
     dropped = {_LENGTH}
-    named = find_header(tuple(headers), b'connection') or b''
+    named = find_header(headers, b'connection') or b''
     dropped.update(word.strip().lower() for word in named.split(b','))
     dropped |= _HOP_BY_HOP
     return tuple(
--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -6,14 +6,16 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from functools import partial
 from typing import Any, Final
 
-from twisted.internet.protocol import ClientFactory, Factory
+from twisted.internet.protocol import Factory
 
 from bilberryrail.core.ids import NodeId, RegionId
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.records import Peer
 from bilberryrail.gateway.link import Link, LinkEvents
+from bilberryrail.gateway.sockets import OneConnection
 
 #: Time to open a link; a round trip between regions takes 60 ms.
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -48,28 +50,6 @@
         return Link(self.links, None)
 
 
-class _Dialing(ClientFactory):
-    """Opens one link."""
-
-    noisy = False
-
-    def __init__(self, links: 'Links', node: NodeId) -> None:
-        self.links = links
-        self.node = node
-
-    def buildProtocol(self, addr: Any) -> Link:  # noqa: N802
-        """Open a link."""
-        return Link(self.links, self.node)
-
-    def clientConnectionFailed(  # noqa: N802
-        self,
-        connector: Any,
-        reason: Any,
-    ) -> None:
-        """Report a node that does not answer."""
-        self.links.dial_failed(self.node, reason.getErrorMessage())
-
-
 class Outgoing:
     """Link to one target, while it is opened, used and opened again."""
 
@@ -277,7 +257,7 @@
         self.reactor.connectTCP(
             outgoing.peer.host,
             outgoing.peer.port,
-            _Dialing(self, node),
+            OneConnection(Link(self, node), partial(self.dial_failed, node)),
             timeout=CONNECT_TIMEOUT_S,
         )
 
--- a/packages/gateway/bilberryrail/gateway/metrics.py
+++ b/packages/gateway/bilberryrail/gateway/metrics.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 from typing import Final
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus import Counter, Histogram, Registry
 from aioprometheus.renderer import render
 
 from bilberryrail.forwarding.records import (
@@ -49,11 +49,6 @@
             buckets=_LATENCY_BUCKETS,
             registry=self.registry,
         )
-        self.gauges = Gauge(
-            'bilberryrail_state',
-            'Present state by name.',
-            registry=self.registry,
-        )
 
     def answered(self, service: str, status: int, took_s: float) -> None:
         """Count an answer to a client."""
--- a/packages/gateway/bilberryrail/gateway/reading_duty.py
+++ b/packages/gateway/bilberryrail/gateway/reading_duty.py
@@ -2,8 +2,13 @@
 
 from typing import Any, Final
 
+from bilberryrail.core.ids import NodeId
 from bilberryrail.forwarding.membership import Membership
-from bilberryrail.forwarding.readers import is_reader
+from bilberryrail.forwarding.readers import (
+    has_readers,
+    is_reader,
+    near_nodes,
+)
 from bilberryrail.gateway.links import Links
 
 #: Time after the newest word of a reader in which this node reads the store
@@ -36,6 +41,11 @@
             self.links.is_up,
         )
 
+    @property
+    def serves_zone(self) -> bool:
+        """Whether other nodes of the zone rely on this one."""
+        return has_readers(self.near()) and self.is_chosen
+
     @property
     def is_covered(self) -> bool:
         """Whether another node has told lately that it reads."""
@@ -48,6 +58,11 @@
             return False
         return not self.is_covered or self.is_chosen
 
+    def near(self) -> list[NodeId]:
+        """Return the other nodes of this node's availability zone."""
+        membership = self.membership
+        return near_nodes(membership.own, membership.others())
+
     def heard(self) -> None:
         """Note that a node of this zone reads the store."""
         self.heard_at = self.clock.seconds()
