Bound every part of an answer, and unfinished answers together

A stranger on the port of the links could announce 100 MB. Bodies are one buffer. A body that is announced too long ends at its head. Unfinished answers share 32 MB; the longest is given up. Health checks read 64 KB. A message before Hello may have 16 KB. Requests' chunk extensions and trailers count as well.

--- a/packages/gateway/bilberryrail/gateway/answer_reader.py
+++ b/packages/gateway/bilberryrail/gateway/answer_reader.py
@@ -7,12 +7,12 @@
 import httptools
 
 from bilberryrail.forwarding.records import Header, find_header
+from bilberryrail.gateway.framing import Framing, FramingError
 from bilberryrail.gateway.http_text import end_to_end
 
-#: Largest head that is read; a usual bound of HTTP clients.
-MOST_HEAD_BYTES: Final = 65536
+_LENGTH: Final = b'content-length'
 
-_LENGTHS: Final = frozenset((b'content-length', b'transfer-encoding'))
+_LENGTHS: Final = frozenset((_LENGTH, b'transfer-encoding'))
 
 
 class AnswerError(Exception):
@@ -27,6 +27,8 @@
     ----------
     headers
         All headers, those of the connection included.
+    body
+        The body, as far as it has been read.
     has_length
         Whether the head says where the body ends; otherwise it ends with the
         connection.
@@ -34,16 +36,11 @@
 
     status: int = 0
     headers: list[Header] = field(default_factory=list)
-    chunks: list[bytes] = field(default_factory=list)
+    body: bytearray = field(default_factory=bytearray)
     has_head: bool = False
     has_length: bool = False
     keeps_alive: bool = False
 
-    @property
-    def body(self) -> bytes:
-        """The whole body."""
-        return b''.join(self.chunks)
-
     @property
     def end_to_end(self) -> tuple[Header, ...]:
         """Headers without those that concern the connection."""
@@ -59,6 +56,8 @@
 
     Parameters
     ----------
+    most_body_bytes
+        Largest body that is read.
     without_body
         Whether the answer is to a HEAD request.
 
@@ -68,28 +67,37 @@
         Answers whose end has been read, oldest first.
     """
 
-    def __init__(self, most_bytes: int, *, without_body: bool = False) -> None:
-        self.most_bytes = most_bytes
+    def __init__(
+        self,
+        most_body_bytes: int,
+        *,
+        without_body: bool = False,
+    ) -> None:
+        self.most_body_bytes = most_body_bytes
         self.without_body = without_body
         self.parser = httptools.HttpResponseParser(self)
+        self.framing = Framing()
         self.whole: list[RawAnswer] = []
         self.current: RawAnswer | None = None
-        self.size = 0
         self.has_started = False
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of bodies that are held in memory."""
+        return self.framing.body_bytes
+
     def feed(self, received: bytes) -> None:
         """Parse bytes; raises ``AnswerError`` if they are no answer."""
         self.has_started = True
         try:
             self.parser.feed_data(received)
+            self.framing.received(len(received))
         except (
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
+            FramingError,
         ) as error:
             raise AnswerError(f'{type(error).__name__}: {error}') from error
-        self.size += len(received)
-        if self.size > self.most_bytes + MOST_HEAD_BYTES:
-            raise AnswerError(f'answer exceeds {self.most_bytes} bytes')
 
     def end_of_connection(self) -> RawAnswer | None:
         """Return an answer that ends with its connection, if there is one."""
@@ -101,10 +109,12 @@
 
     def on_message_begin(self) -> None:
         """Start an answer."""
+        self.framing.head_begins()
         self.current = RawAnswer()
 
     def on_header(self, name: bytes, text: bytes) -> None:
         """Keep a header; those after the body are dropped."""
+        self.framing.header_read()
         if self.current is not None and not self.current.has_head:
             self.current.headers.append((name, text))
 
@@ -122,11 +132,14 @@
         if self.without_body and current.status >= HTTPStatus.OK:
             current.keeps_alive = False
             self._finish()
+        else:
+            self._check_stated_length(current)
 
     def on_body(self, chunk: bytes) -> None:
         """Keep a part of the body."""
+        self.framing.body_read(len(chunk), self.most_body_bytes)
         if self.current is not None:
-            self.current.chunks.append(chunk)
+            self.current.body += chunk
 
     def on_message_complete(self) -> None:
         """Note the end, unless it is that of an interim answer."""
@@ -135,6 +148,12 @@
             return
         self._finish()
 
+    def _check_stated_length(self, answer: RawAnswer) -> None:
+        """Refuse a body that is too long before its first byte."""
+        stated = answer.header(_LENGTH)
+        if stated and stated.isdigit() and int(stated) > self.most_body_bytes:
+            raise FramingError(f'body of {stated.decode()} bytes is announced')
+
     def _finish(self) -> None:
         if self.current is not None:
             self.whole.append(self.current)
--- a/packages/gateway/bilberryrail/gateway/answer_reader_test.py
+++ b/packages/gateway/bilberryrail/gateway/answer_reader_test.py
@@ -77,3 +77,61 @@
         without_body=True,
     )
     assert reader.whole[0].body == b''
+
+
+ENDLESS = {
+    'status line': (b'HTTP/1.1 200 ', b'O'),
+    'header': (b'HTTP/1.1 200 OK\r\nX: ', b'x'),
+    'headers': (b'HTTP/1.1 200 OK\r\n', b'X: 1\r\n'),
+    'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    'foreign answers': (b'', WHOLE),
+    'chunk extension': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=',
+        b'x',
+    ),
+    'chunk extensions': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'1;a=xxxxxxxxxx\r\nb\r\n',
+    ),
+    'trailers': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n',
+        b'X: 1\r\n',
+    ),
+    'body without a length': (b'HTTP/1.1 200 OK\r\n\r\n', b'x'),
+    'body in chunks': (
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'1\r\nb\r\n',
+    ),
+}
+
+#: Size of one read of the runtime.
+READ_BYTES = 65536
+
+
+@pytest.mark.parametrize('what', ENDLESS)
+def test_bytes_without_end_are_no_answer(what):
+    # Guards against a sick backend server whose bytes never end and fill the
+    # memory of its node: the bound holds for each part of an answer.
+    head, endless = ENDLESS[what]
+    reader = AnswerReader(100_000)
+    reader.feed(head)
+    read_bytes = 0
+    with pytest.raises(AnswerError):
+        while read_bytes < 20 * READ_BYTES:
+            reader.feed(endless * (READ_BYTES // len(endless)))
+            read_bytes += READ_BYTES
+    assert read_bytes <= 10 * READ_BYTES
+
+
+def test_body_that_is_announced_too_long_is_refused_at_its_head():
+    # Guards against reading up to the limit what cannot end below it.
+    with pytest.raises(AnswerError):
+        read(b'HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n')
+
+
+def test_answer_in_chunks_of_one_byte_is_read():
+    # Guards against bounds that refuse a proper answer in small pieces.
+    chunks = b'1\r\nb\r\n' * 50_000
+    head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+    reader = read(head, chunks, b'0\r\n\r\n', limit=60_000)
+    assert len(reader.whole[0].body) == 50_000
--- a/packages/gateway/bilberryrail/gateway/backend_pool.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool.py
@@ -50,6 +50,13 @@
 #: Time for which a dropped idle connection calls for that care.
 CAREFUL_S: Final = 15.0
 
+#: Most bytes of unfinished answers that are held at once. The smallest hosts
+#: have 200 MB, and an answer is copied up to four times on its way.
+MOST_HELD_BYTES: Final = 33_554_432
+
+#: Bytes of one unfinished answer from which the sum is looked at.
+_LARGE_BYTES: Final = 65536
+
 
 class BackendConnection(Protocol):
     """One connection; it carries one request at a time.
@@ -103,11 +110,22 @@
         try:
             self.reader.feed(data)
         except AnswerError as error:
-            self.pool.log('bad_answer', reason=str(error))
-            self._fail(Failure.MALFORMED)
+            self.give_up(str(error))
             return
         if self.reader.whole:
             self._finish(self.reader.whole)
+        elif self.held_bytes > _LARGE_BYTES:
+            self.pool.bound_memory()
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of an unfinished answer."""
+        return self.reader.held_bytes if self.reader else 0
+
+    def give_up(self, reason: str) -> None:
+        """End a request whose answer cannot be held."""
+        self.pool.log('bad_answer', reason=reason)
+        self._fail(Failure.MALFORMED)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Judge a request whose connection has ended."""
@@ -237,6 +255,14 @@
         if connection in self.idle:
             self.idle.remove(connection)
 
+    def bound_memory(self) -> None:
+        """Give up the longest unfinished answer if all are too much."""
+        held = {one: one.held_bytes for one in self.busy.values()}
+        total = sum(held.values())
+        if total > MOST_HELD_BYTES:
+            longest = max(held, key=held.__getitem__)
+            longest.give_up(f'{total} bytes of unfinished answers')
+
     def dropped_idle(self) -> None:
         """Note that the backend server drops idle connections silently."""
         self._careful_until = self.reactor.seconds() + CAREFUL_S
@@ -269,7 +295,7 @@
             self.target.backend.reported(head.load, now)
         match head.verdict:
             case Verdict.RAN:
-                answer = HttpAnswer(raw.status, raw.end_to_end, raw.body)
+                answer = HttpAnswer(raw.status, raw.end_to_end, bytes(raw.body))
                 self.target.answered(work, answer)
             case Verdict.NOT_RUN:
                 self.target.not_run(work, Refusal.SHED)
--- a/packages/gateway/bilberryrail/gateway/backend_pool_test.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool_test.py
@@ -10,7 +10,7 @@
 from bilberryrail.forwarding.fixtures_test import SETTINGS, forward
 from bilberryrail.forwarding.records import Failure, InstanceId, Refusal
 from bilberryrail.forwarding.work_queue import Origin, Work
-from bilberryrail.gateway.backend_pool import BackendPool
+from bilberryrail.gateway.backend_pool import MOST_HELD_BYTES, BackendPool
 from bilberryrail.gateway.dialect import AnswerHead, Verdict
 from bilberryrail.gateway.http_server_test import FakeTransport, ignore
 from bilberryrail.gateway.settings import Address
@@ -222,3 +222,34 @@
     assert connection.transport.disconnecting
     connection.connectionLost(Reason(ConnectionLost()))
     assert not bench.target.outcomes
+
+
+def test_unfinished_answers_share_one_bound_of_memory(bench):
+    # Guards against many answers without end, each below its own limit, that
+    # end the node together; the longest is given up, short ones go on.
+    bench.pool.most_body_bytes = MOST_HELD_BYTES
+    piece = b'x' * 1_000_000
+    connections = []
+    for number in (1, 2, 3):
+        bench.dispatch(number)
+        connections.append(bench.open())
+        connections[-1].dataReceived(b'HTTP/1.1 200 OK\r\n\r\nx')
+    while not bench.target.outcomes:
+        connections[0].dataReceived(piece)
+        connections[1].dataReceived(piece[: len(piece) // 2])
+        assert sum(one.held_bytes for one in connections) < MOST_HELD_BYTES * 2
+    assert bench.target.outcomes == [(1, Failure.MALFORMED)]
+    assert connections[0].transport.disconnecting
+    connections[2].connectionLost(Reason(ConnectionDone()))
+    assert bench.target.outcomes[-1] == (3, b'x')
+
+
+def test_endless_answer_ends_its_connection_as_soon_as_it_is_known(bench):
+    # Guards against reading until the deadline what is no answer; the request
+    # may have run, and the error counts against the backend server.
+    bench.dispatch(1)
+    connection = bench.open()
+    head = b'HTTP/1.1 200 OK\r\n'
+    connection.dataReceived(b'%b%b' % (head, b'X: 1\r\n' * 1000))
+    assert bench.target.outcomes == [(1, Failure.MALFORMED)]
+    assert connection.transport.disconnecting
--- a/packages/gateway/bilberryrail/gateway/health_checker.py
+++ b/packages/gateway/bilberryrail/gateway/health_checker.py
@@ -20,6 +20,9 @@
 
 _CONNECT_TIMEOUT_S: Final = 0.3
 
+#: Largest body of a health check that is read; only its head says anything.
+MOST_ANSWER_BYTES: Final = 65536
+
 
 class HealthChecker:
     """Sends a health check at a steady interval, one at a time.
@@ -63,6 +66,7 @@
             self.address.host,
             self.address.port,
             _CONNECT_TIMEOUT_S,
+            MOST_ANSWER_BYTES,
         )
 
     def _tick(self) -> None:
--- a/packages/gateway/bilberryrail/gateway/http_channel.py
+++ b/packages/gateway/bilberryrail/gateway/http_channel.py
@@ -16,7 +16,7 @@
 )
 from bilberryrail.gateway.http_text import request_bytes
 
-#: Largest answer that is read.
+#: Largest answer that is read if the user of a channel states none.
 MOST_ANSWER_BYTES: Final = 16_777_216
 
 
@@ -36,7 +36,7 @@
     def __init__(self, channel: 'HttpChannel') -> None:
         self.channel = channel
         self.waiting: Deferred[RawAnswer] | None = None
-        self.reader = AnswerReader(MOST_ANSWER_BYTES)
+        self.reader = AnswerReader(channel.most_answer_bytes)
         self.payload = b''
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -51,7 +51,7 @@
         """Send a request, at once or when the connection is open."""
         self.payload = payload
         self.waiting = Deferred(self._cancelled)
-        self.reader = AnswerReader(MOST_ANSWER_BYTES)
+        self.reader = AnswerReader(self.channel.most_answer_bytes)
         if self.transport is not None:
             self.transport.write(payload)
         return self.waiting
@@ -114,11 +114,13 @@
         host: str,
         port: int,
         connect_timeout_s: float,
+        most_answer_bytes: int = MOST_ANSWER_BYTES,
     ) -> None:
         self.reactor = reactor
         self.host = host
         self.port = port
         self.connect_timeout_s = connect_timeout_s
+        self.most_answer_bytes = most_answer_bytes
         self.lock = DeferredLock()
         self.connection: ChannelConnection | None = None
 
--- a/packages/gateway/bilberryrail/gateway/http_channel_test.py
+++ b/packages/gateway/bilberryrail/gateway/http_channel_test.py
@@ -83,3 +83,13 @@
     connection.dataReceived(ANSWER)
     connection.connectionLost(Failure(ConnectionLost()))
     assert bench.ends == [ChannelError]
+
+
+def test_endless_answer_fails_the_request(bench):
+    # Guards against a store or a health check whose answer never ends.
+    bench.channel.most_answer_bytes = 1000
+    bench.ask(b'/1')
+    connection = bench.open()
+    connection.dataReceived(b'HTTP/1.1 200 OK\r\n\r\n%b' % (b'x' * 2000))
+    assert bench.ends == [ChannelError]
+    assert connection.transport.disconnecting
--- a/packages/gateway/bilberryrail/gateway/http_server.py
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -16,6 +16,7 @@
     HttpRequest,
 )
 from bilberryrail.gateway import sockets
+from bilberryrail.gateway.framing import Framing, FramingError
 from bilberryrail.gateway.http_text import answer_bytes, end_to_end
 
 #: Requests of one connection that are served at the same time; more wait
@@ -78,7 +79,7 @@
         self.target = b''
         self.headers: list[Header] = []
         self.chunks: list[bytes] = []
-        self.body_size = 0
+        self.framing = Framing()
         self.head_size = 0
         self.has_head = False
         self.is_reading = False
@@ -113,7 +114,7 @@
             if not self.is_ending:
                 self.server.log('bad_request', reason=str(error))
                 self._reject(HTTPStatus.BAD_REQUEST)
-        self._check_sizes()
+        self._check_sizes(len(data))
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Give up the requests that the client no longer waits for."""
@@ -133,7 +134,7 @@
         self.target = b''
         self.headers = []
         self.chunks = []
-        self.body_size = 0
+        self.framing = Framing()
         self.has_head = False
 
     def on_url(self, part: bytes) -> None:
@@ -155,8 +156,8 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Keep a part of the body within the limit."""
-        self.body_size += len(chunk)
-        if self.body_size <= self.server.limits.body_bytes:
+        self.framing.body_bytes += len(chunk)
+        if self.framing.body_bytes <= self.server.limits.body_bytes:
             self.chunks.append(chunk)
 
     def on_message_complete(self) -> None:
@@ -164,7 +165,7 @@
         self.is_reading = False
         if self.is_ending:
             return
-        if self.body_size > self.server.limits.body_bytes:
+        if self.framing.body_bytes > self.server.limits.body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         method = self.parser.get_method()
@@ -232,13 +233,24 @@
             self.is_paused = False
             self.transport.resumeProducing()
 
-    def _check_sizes(self) -> None:
+    def _check_sizes(self, received: int) -> None:
         limits = self.server.limits
         if self.is_ending:
             return
-        if not self.has_head and self.head_size > limits.header_bytes * 2:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
-        elif self.body_size > limits.body_bytes:
+        if not self.has_head:
+            if self.head_size > limits.header_bytes * 2:
+                self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        elif self.framing.body_bytes > limits.body_bytes:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif self.is_reading:
+            self._check_framing(received)
+
+    def _check_framing(self, received: int) -> None:
+        """Reject a body of chunk extensions or trailers without end."""
+        try:
+            self.framing.received(received)
+        except FramingError as error:
+            self.server.log('bad_request', reason=str(error))
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
     def _reject(self, status: HTTPStatus) -> None:
--- a/packages/gateway/bilberryrail/gateway/http_server_test.py
+++ b/packages/gateway/bilberryrail/gateway/http_server_test.py
@@ -207,3 +207,29 @@
     bench.send(b'HEAD / HTTP/1.1\r\nHost: a\r\n\r\n')
     bench.service.responds[0](HttpAnswer(200, (), b'body'))
     assert bench.written().endswith(b'\r\n\r\n')
+
+
+@pytest.mark.parametrize(
+    ('head', 'endless'),
+    [(b'1;a=', b'x'), (b'0\r\n', b'X: 1\r\n')],
+)
+def test_body_of_framing_without_end_is_rejected(bench, head, endless):
+    # Guards against a client whose chunk extension or trailers never end: they
+    # count as no byte of the body.
+    bench.send(
+        b'POST / HTTP/1.1\r\nHost: a.example\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n',
+        head,
+    )
+    for _ in repeat(None, 4):
+        bench.send(endless * (60_000 // len(endless)))
+    assert b' 413 ' in bench.written()
+    assert not bench.service.requests
+
+
+def test_long_connection_of_many_heads_is_no_endless_body(bench):
+    # Guards against bytes of earlier requests that count against a later one.
+    for _ in repeat(None, 2000):
+        bench.send(get(b'/1', b'X: %b\r\n' % (b'x' * 100)))
+        bench.service.responds[-1](HttpAnswer(200))
+    assert len(bench.service.requests) == 2000
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -14,6 +14,9 @@
 #: Room for the largest body that clients may send and its headers.
 MOST_MESSAGE_BYTES: Final = 100_663_296
 
+#: Room for a Hello, the only message that a stranger may send.
+MOST_HELLO_BYTES: Final = 16_384
+
 #: Time to exchange Hello.
 HELLO_TIMEOUT_S: Final = 1.0
 
@@ -85,10 +88,10 @@
         Requests sent over the link without an outcome.
     """
 
-    MAX_LENGTH = MOST_MESSAGE_BYTES  # noqa: WPS115 (Twisted's name)
-
     def __init__(self, links: 'LinkOwner', expected: NodeId | None) -> None:
         super().__init__()
+        # Twisted's name for the longest message that is read.
+        self.MAX_LENGTH = MOST_HELLO_BYTES
         self.links = links
         self.expected = expected
         self.peer: Peer | None = None
@@ -186,6 +189,7 @@
             self.send(self.links.events.hello(hello.peer.node))
             return
         self.peer = hello.peer
+        self.MAX_LENGTH = MOST_MESSAGE_BYTES
         self.timer.cancel()
         if not self.is_own:
             self.send(self.links.events.hello(hello.peer.node))
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -11,7 +11,12 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.fixtures_test import forward, peer
 from bilberryrail.gateway.http_server_test import FakeTransport, ignore
-from bilberryrail.gateway.link import HELLO_TIMEOUT_S, LOST_AFTER_S
+from bilberryrail.gateway.link import (
+    HELLO_TIMEOUT_S,
+    LOST_AFTER_S,
+    MOST_HELLO_BYTES,
+    Link,
+)
 from bilberryrail.gateway.links import Links
 
 LOST = Failure(ConnectionLost())
@@ -194,3 +199,12 @@
     before = len(link.transport.value())
     bench.reactor.pump(repeat(0.1, 50))
     assert len(link.transport.value()) == before
+
+
+def test_stranger_cannot_fill_the_memory_before_its_hello(bench):
+    # Guards against bytes without end from whoever connects to the port of the
+    # links: only a short message may come before Hello.
+    link = Link(bench.links, None)
+    link.makeConnection(FakeTransport())
+    link.dataReceived((MOST_HELLO_BYTES + 1).to_bytes(4, 'big'))
+    assert link.transport.disconnecting
