Count bytes between nodes by cause; compress links out of the zone

A request's head is 300 to 400 bytes of a 600 to 1,600 byte message and repeats. Change: Traffic sums the bytes of links by place and cause, on the metrics and in one log line a place each 10 s.

--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -28,10 +28,13 @@
     expected
         Node that the sender wants to reach. Another one may have taken over
         its address.
+    unpacks
+        Whether the sender reads compressed messages.
     """
 
     peer: Peer
     expected: NodeId
+    unpacks: bool = False
 
 
 class Announce(msgspec.Struct, array_like=True, tag=1):
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -10,6 +10,8 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.records import Peer
 from bilberryrail.gateway import sockets
+from bilberryrail.gateway.packing import Packer, PackingError, Unpacker
+from bilberryrail.gateway.traffic import Place, Traffic
 
 #: Room for the largest body that clients may send and its headers.
 MOST_MESSAGE_BYTES: Final = 100_663_296
@@ -66,6 +68,7 @@
     node: NodeId
     events: LinkEvents | None
     log: Callable[..., None]
+    traffic: Traffic
 
     def started(self, link: 'Link') -> None:
         """Use a link from now on."""
@@ -86,6 +89,8 @@
         Who is at the other end, once it has said Hello.
     due
         Requests sent over the link without an outcome.
+    packer
+        Compresses what is sent; None if it goes as it is.
     """
 
     def __init__(self, links: 'LinkOwner', expected: NodeId | None) -> None:
@@ -100,6 +105,8 @@
         self.pinged_at: float = 0
         self.is_up = False
         self.used_at: float = 0
+        self.packer: Packer | None = None
+        self.unpacker = Unpacker()
         self.timer: Any = None
 
     @property
@@ -126,14 +133,18 @@
             self.due.add(message.attempt)
         elif isinstance(message, messages.Cancel):
             self.due.discard(message.attempt)
-        self.sendString(messages.encode(message))
+        payload = messages.encode(message)
+        if self.packer is not None:
+            payload = self.packer.pack(payload)
+        self.links.traffic.sent(self.peer, type(message).__name__, len(payload))
+        self.sendString(payload)
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Read a message; a peer that breaks the protocol is hung up on."""
         self.heard_at = self.links.reactor.seconds()
         try:
-            message = messages.decode(string)
-        except messages.MessageError as error:
+            message = messages.decode(self.unpacker.unpack(string))
+        except (messages.MessageError, PackingError) as error:
             self.links.log('bad_message', reason=str(error))
             self.transport.abortConnection()
             return
@@ -193,5 +204,12 @@
         self.timer.cancel()
         if not self.is_own:
             self.send(self.links.events.hello(hello.peer.node))
+        self._pack_from_now(hello)
         self.is_up = True
         self.links.started(self)
+
+    def _pack_from_now(self, hello: messages.Hello) -> None:
+        """Compress what is paid for by volume, if the peer can read it."""
+        place = self.links.traffic.place_of(hello.peer)
+        if hello.unpacks and place is not Place.ZONE:
+            self.packer = Packer()
--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -16,6 +16,7 @@
 from bilberryrail.forwarding.records import Peer
 from bilberryrail.gateway.link import Link, LinkEvents
 from bilberryrail.gateway.sockets import OneConnection
+from bilberryrail.gateway.traffic import Traffic
 
 #: Time to open a link; a round trip between regions takes 60 ms.
 CONNECT_TIMEOUT_S: Final = 0.5
@@ -91,10 +92,12 @@
         node: NodeId,
         region: RegionId,
         log: Callable[..., None],
+        traffic: Traffic,
     ) -> None:
         self.reactor = reactor
         self.node = node
         self.region = region
+        self.traffic = traffic
         self.kept: frozenset[NodeId] = frozenset()
         self.is_full_mesh = True
         self.events: LinkEvents | None = None
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -18,6 +18,9 @@
     Link,
 )
 from bilberryrail.gateway.links import Links
+from bilberryrail.gateway.metrics import Metrics
+from bilberryrail.gateway.packing import PACKED
+from bilberryrail.gateway.traffic import Traffic
 
 LOST = Failure(ConnectionLost())
 
@@ -75,6 +78,7 @@
             NodeId('n1'),
             RegionId('home'),
             ignore,
+            Traffic(self.reactor, lambda: peer('n1'), Metrics(), ignore),
         )
         self.links.events = self.events
 
@@ -208,3 +212,32 @@
     link.makeConnection(FakeTransport())
     link.dataReceived((MOST_HELLO_BYTES + 1).to_bytes(4, 'big'))
     assert link.transport.disconnecting
+
+
+@pytest.mark.parametrize(
+    ('zone', 'unpacks', 'is_packed'),
+    [('east', True, False), ('west', True, True), ('west', False, False)],
+)
+def test_links_out_of_the_zone_are_compressed(bench, zone, unpacks, is_packed):
+    # Guards against paying for repeated heads between zones, and against a
+    # node of an earlier version that cannot read what it gets.
+    hello = messages.Hello(peer('n2', zone=zone), 'n1', unpacks=unpacks)
+    link = bench.dial(answers=hello)
+    link.transport.clear()
+    link.send(forward(1))
+    sent = link.transport.value()
+    assert (sent[4:5] == PACKED) is is_packed
+
+
+def test_compressed_requests_arrive(bench):
+    # Guards against requests that are lost between two nodes in other zones.
+    far = messages.Hello(peer('n2', zone='west'), 'n1', unpacks=True)
+    sender, receiver = bench.dial(answers=far), bench.accept(far)
+    sender.transport.clear()
+    sender.send(forward(1))
+    sender.send(messages.Ping())
+    receiver.dataReceived(sender.transport.value())
+    assert bench.events.log[-2:] == [
+        ('received', 'n2', 'Forward'),
+        ('received', 'n2', 'Ping'),
+    ]
--- a/packages/gateway/bilberryrail/gateway/metrics.py
+++ b/packages/gateway/bilberryrail/gateway/metrics.py
@@ -43,6 +43,9 @@
         self.store_calls = self._counter(
             'store_calls_total', 'Calls to the store by kind and result.'
         )
+        self.link_bytes = self._counter(
+            'link_bytes_total', 'Bytes sent to other nodes by place and cause.'
+        )
         self.latency = Histogram(
             'bilberryrail_answer_seconds',
             'Time from a request to its answer, by service.',
@@ -63,6 +66,10 @@
         """Count a call to the store."""
         self.store_calls.inc({'kind': kind, 'result': result})
 
+    def sent(self, place: str, cause: str, size: int) -> None:
+        """Count bytes sent to another node."""
+        self.link_bytes.add({'place': place, 'cause': cause}, size)
+
     def render(self) -> HttpAnswer:
         """Render all metrics as text."""
         text, headers = render(self.registry, ['text/plain'])
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -32,6 +32,7 @@
 from bilberryrail.gateway.shutdown import Shutdown
 from bilberryrail.gateway.store import Store
 from bilberryrail.gateway.switchboard import RolePorts, Switchboard
+from bilberryrail.gateway.traffic import Traffic
 
 #: Connections that wait to be accepted; a burst of clients arrives at once.
 BACKLOG: Final = 1024
@@ -125,6 +126,7 @@
         self.follower.start()
         self.health.start()
         self.gossip.start()
+        self.traffic.start()
         self.watch.start()
 
     def backend_changed(self) -> Any:
@@ -165,11 +167,18 @@
         self.ingress.on_finished = decisions.finished
 
     def _build_links(self, settings: GatewaySettings) -> None:
+        self.traffic = Traffic(
+            self.reactor,
+            lambda: self.membership.own,
+            self.metrics,
+            self.log.process,
+        )
         self.links = Links(
             self.reactor,
             settings.node,
             settings.region,
             self.log.process,
+            self.traffic,
         )
         self.ports.links = self.links
         self.presence = Presence(
--- a/packages/gateway/bilberryrail/gateway/switchboard.py
+++ b/packages/gateway/bilberryrail/gateway/switchboard.py
@@ -93,7 +93,8 @@
 
     def hello(self, expected: NodeId) -> messages.Hello:
         """Build the first message of a link."""
-        return messages.Hello(self.presence.membership.own, expected)
+        own = self.presence.membership.own
+        return messages.Hello(own, expected, unpacks=True)
 
     def received(self, link: Link, message: messages.Message) -> None:
         """Handle a message of another node."""
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/traffic.py
@@ -0,0 +1,77 @@
+"""Counts the bytes that this node sends to other nodes, by cause and place."""
+
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+from typing import Any, Final
+
+from bilberryrail.forwarding.records import Peer
+from bilberryrail.gateway.metrics import Metrics
+
+#: Interval at which the sums are written to the log, in seconds.
+REPORT_INTERVAL_S: Final = 10.0
+
+
+class Place(Enum):
+    """Where the other end of a link is; traffic is paid by it."""
+
+    UNKNOWN = 'unknown'
+    ZONE = 'zone'
+    REGION = 'region'
+    OTHER_REGION = 'other-region'
+
+
+class Traffic:
+    """Sums of the bytes sent over links.
+
+    Parameters
+    ----------
+    own
+        Returns the announcement of this node.
+    """
+
+    def __init__(
+        self,
+        clock: Any,
+        own: Callable[[], Peer],
+        metrics: Metrics,
+        log: Callable[..., None],
+    ) -> None:
+        self.clock = clock
+        self.own = own
+        self.metrics = metrics
+        self.log = log
+        self.sums: Counter[tuple[Place, str]] = Counter()
+
+    def start(self) -> None:
+        """Begin to write the sums."""
+        self.clock.callLater(REPORT_INTERVAL_S, self._report)
+
+    def sent(self, peer: Peer | None, cause: str, size: int) -> None:
+        """Count the bytes of one message."""
+        place = self.place_of(peer)
+        self.sums[(place, cause)] += size
+
+    def place_of(self, peer: Peer | None) -> Place:
+        """Return where a node is, as seen from this one."""
+        if peer is None:
+            return Place.UNKNOWN
+        own = self.own()
+        if peer.region != own.region:
+            return Place.OTHER_REGION
+        return Place.ZONE if peer.zone == own.zone else Place.REGION
+
+    def _report(self) -> None:
+        """Write one line a place with the sums, and start new ones."""
+        self.clock.callLater(REPORT_INTERVAL_S, self._report)
+        for place in Place:
+            causes = {
+                cause: size
+                for (where, cause), size in self.sums.items()
+                if where is place
+            }
+            for cause, size in causes.items():
+                self.metrics.sent(place.value, cause, size)
+            if causes:
+                self.log('traffic', place=place.value, **causes)
+        self.sums.clear()
