Look at a shared host before a run; wait out short slow episodes

Change: StatedSlowdown learns how long slow episodes and calms last, which gives the time in which a report loses its meaning and the rest of an episode. Pace learns for each route how much of a run the figure at its start decides (prior: all), and the usual duration from runs whose start was known. A target looks at the host (one health check) before a run that is ten times as long if its last report is old; it holds a run back if the rest of a usual episode and a calm run are shorter than a slow run. The load report tells other nodes the same.

--- a/packages/forwarding/bilberryrail/forwarding/admission.py
+++ b/packages/forwarding/bilberryrail/forwarding/admission.py
@@ -16,6 +16,16 @@
 #: Most requests kept in the queue for a limit, whatever the limit is.
 _LEAST_QUEUE: Final = 4
 
+#: Longest wait for a look at the host; an answer on the same host takes a few
+#: milliseconds.
+MOST_LOOK_S: Final = 0.025
+
+#: Part of a run that a look at the host may take.
+_LOOK_SHARE: Final = 0.1
+
+#: Usual episodes of slowness for which one request is held back.
+_MOST_PAUSES: Final = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class QueueVerdict:
@@ -53,8 +63,27 @@
         self.backend = room.backend
 
     def busy_s(self, work: Work, now: Seconds) -> float:
-        """Return how long a request will run if it is sent now."""
-        return self.backend.expected_s(now, work.message.route)
+        """Return how long a free slot will take to answer a request."""
+        at_once_s = self.backend.expected_s(now, work.message.route)
+        pause_s = self.backend.pace.stated.rest_s(now)
+        if not pause_s:
+            return at_once_s
+        return min(at_once_s, pause_s + self._calm_s(work, now))
+
+    def is_premature(self, work: Work, now: Seconds) -> bool:
+        """Tell whether a request had better not be sent right now.
+
+        The host's speed at its start decides how long it runs. If the host
+        may have turned slow since the last report, a look costs less than a
+        slow run; if it is slow for a moment, waiting does.
+        """
+        if self._waits_for_look(work, now):
+            return True
+        rest_s = self.backend.pace.stated.rest_s(now)
+        if not rest_s or _paused_s(work, now) >= rest_s * _MOST_PAUSES:
+            return False
+        at_once_s = self.backend.expected_s(now, work.message.route)
+        return at_once_s > rest_s + self._calm_s(work, now)
 
     def wait_s(self, work: Work, now: Seconds) -> float:
         """Return how long a request will wait for a slot."""
@@ -62,9 +91,14 @@
         return self.room.expected_wait_s(ahead, now)
 
     def is_too_slow(self, work: Work, now: Seconds) -> bool:
-        """Tell whether another target would answer sooner than a free slot."""
+        """Tell whether another target would answer sooner than a free slot.
+
+        That is known only after a look at the host, if a look pays.
+        """
         bound_s = work.message.bound_s
-        return bound_s > 0 and self.busy_s(work, now) > bound_s
+        if not bound_s or self._waits_for_look(work, now):
+            return False
+        return self.busy_s(work, now) > bound_s
 
     def judge(self, work: Work, now: Seconds) -> QueueVerdict:
         """Say whether a request may wait here; mark it if it is late."""
@@ -111,8 +145,28 @@
             return False
         return not self.backend.pace.is_short(work.message.route)
 
+    def _waits_for_look(self, work: Work, now: Seconds) -> bool:
+        """Tell whether a look at the host is due and short against a run."""
+        pace = self.backend.pace
+        if pace.stated.is_fresh(now) or not pace.stated.is_shared:
+            return False
+        most_s = pace.usual_s(work.message.route) * _LOOK_SHARE
+        return pace.stated.look_s < most_s and (
+            _paused_s(work, now) < MOST_LOOK_S
+        )
+
+    def _calm_s(self, work: Work, now: Seconds) -> float:
+        """Return how long a request runs on a host that is not slow."""
+        pace = self.backend.pace
+        return pace.usual_s(work.message.route) * pace.unstated(now)
+
 
 def _late_until(work: Work) -> Seconds:
     """Return when a late request has waited long enough."""
     time_s = work.expires_at - work.arrived_at
     return Seconds(work.arrived_at + time_s * _LATE_SHARE)
+
+
+def _paused_s(work: Work, now: Seconds) -> float:
+    """Return for how long a request has been held back."""
+    return 0 if work.paused_at is None else now - work.paused_at
--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -11,7 +11,7 @@
     Heartbeat,
     LoadReport,
 )
-from bilberryrail.forwarding.pace import ErrorShare, Pace
+from bilberryrail.forwarding.pace import ErrorShare, Pace, Start
 from bilberryrail.forwarding.records import (
     BackendLoad,
     BackendPhase,
@@ -44,13 +44,13 @@
 
     Attributes
     ----------
-    work
-        Count of work when it was sent.
+    start
+        What was known about the host.
     """
 
     route: RouteId
     at: Seconds
-    work: float
+    start: Start
 
 
 class Backend:
@@ -152,7 +152,7 @@
 
     def started(self, number: int, route: RouteId, now: Seconds) -> None:
         """Note a request that is sent to the backend server."""
-        self.running[number] = Sent(route, now, self.pace.work(now))
+        self.running[number] = Sent(route, now, self.pace.begin(route, now))
         self.cold.note(now)
         self._tried_at = now
 
@@ -166,7 +166,7 @@
         self.errors.answered(now)
         sent = self.running.get(number)
         if sent is not None:
-            self.pace.learn(sent.route, self.pace.work(now) - sent.work, now)
+            self.pace.learn(sent.route, now - sent.at, now, sent.start)
 
     def is_usable(self, now: Seconds) -> bool:
         """Tell whether new requests may be sent at all."""
@@ -214,7 +214,8 @@
 
         Without a route, that of the usual mix of requests.
         """
-        return self.pace.expected_s(route, self.slowdown(now), now)
+        slowdown = max(self.pace.slowdown(now, route), self._stall(now))
+        return self.pace.usual_s(route) * slowdown
 
     def load(self, now: Seconds, waiting: int) -> BackendLoad:
         """Summarize the load for other nodes."""
@@ -225,6 +226,9 @@
             slowdown=round(self.slowdown(now), 2),
             service_s=round(self.pace.usual_s(), 4),
             error_share=round(self.errors.at(now), 3),
+            memory_s=round(self.pace.stated.memory_s, 3),
+            pause_s=round(self.pace.stated.rest_s(now), 3),
+            calm_slowdown=round(self.pace.unstated(now), 2),
         )
 
     def _say_cold(self, cold_s: float, now: Seconds) -> None:
@@ -259,5 +263,5 @@
         usual_s = self.pace.usual_s(oldest.route)
         if not usual_s:
             return 0
-        ratio = (self.pace.work(now) - oldest.work) / usual_s
+        ratio = (now - oldest.at) / (usual_s * oldest.start.factor)
         return ratio / 2 if ratio > _STALL_FACTOR else 0
--- a/packages/forwarding/bilberryrail/forwarding/candidates.py
+++ b/packages/forwarding/bilberryrail/forwarding/candidates.py
@@ -5,7 +5,6 @@
 from typing import Final, TypeVar
 
 from bilberryrail.core.ids import Seconds, ServiceId
-from bilberryrail.forwarding.pace import duration_s
 from bilberryrail.forwarding.records import BackendLoad, Peer, RouteId
 
 #: Time to an answer that is assumed while no target of a service has reported
@@ -115,11 +114,7 @@
         load = candidate.load
         slowdown = self._slowdown(candidate, now)
         usual_s = load.service_s or self._service_s(candidate.peer.service)
-        running_s = duration_s(
-            self.route_s.get(route, usual_s),
-            slowdown,
-            candidate.usual_slowdown,
-        )
+        running_s = _running_s(self.route_s.get(route, usual_s), slowdown, load)
         share = min(1, self._occupied(candidate, now) / candidate.limit)
         expected_s = usual_s * slowdown * self._rounds(candidate, now)
         expected_s += running_s * (1 + _SHARED_HOST * share)
@@ -134,7 +129,8 @@
         """Estimate the time to an answer at the target's present speed."""
         usual_s = self.usual_s(candidate.peer.service, route)
         slowdown = self._slowdown(candidate, now)
-        return usual_s * slowdown * (1 + self._rounds(candidate, now))
+        waiting_s = usual_s * slowdown * self._rounds(candidate, now)
+        return waiting_s + _running_s(usual_s, slowdown, candidate.load)
 
     def _service_s(self, service: ServiceId) -> float:
         """Return the usual time of a service.
@@ -166,7 +162,15 @@
         age = now - candidate.load_at
         if math.isinf(age):
             return 0
-        return math.exp(-age / self.memory_s)
+        return math.exp(-age / (candidate.load.memory_s or self.memory_s))
+
+
+def _running_s(usual_s: float, slowdown: float, load: BackendLoad) -> float:
+    """Return how long work takes that a target may hold back for a moment."""
+    at_once_s = usual_s * slowdown
+    if not load.pause_s:
+        return at_once_s
+    return min(at_once_s, load.pause_s + usual_s * load.calm_slowdown)
 
 
 def _average(known: dict[_Key, float], key: _Key, usual_s: float) -> None:
--- a/packages/forwarding/bilberryrail/forwarding/pace.py
+++ b/packages/forwarding/bilberryrail/forwarding/pace.py
@@ -7,6 +7,7 @@
 from bilberryrail.core.ids import Seconds
 from bilberryrail.forwarding.load_report import LoadReport
 from bilberryrail.forwarding.records import RouteId
+from bilberryrail.forwarding.slowdown import StatedSlowdown
 
 #: Weight of the newest answer in the usual duration.
 _USUAL_WEIGHT: Final = 0.03
@@ -26,14 +27,15 @@
 #: Least slowdown that is believed; a backend server is rarely faster.
 _LEAST_SLOWDOWN: Final = 0.2
 
-#: Age up to which a load report describes the present.
+#: Age up to which a load report describes the requests beside ours.
 REPORT_AGE_S: Final = 0.3
 
-#: Time over which stated slowdowns are averaged.
-_AVERAGE_S: Final = 3.0
+#: Weight of the newest answer in what the slowdown at its start decides.
+_START_WEIGHT: Final = 0.1
 
-#: Time for which a stated slowdown goes on; it changes several times a second.
-SLOWDOWN_LASTS_S: Final = 0.15
+#: Difference between the slowdown at the start and the average one from which
+#: an answer shows what the start decides.
+_LEAST_CONTRAST: Final = 1.0
 
 #: Part of the longest usual duration up to which a request is short.
 _SHORT_SHARE: Final = 2 / 3
@@ -42,24 +44,39 @@
 _LEAST_DURATION_S: Final = 0.001
 
 
-def duration_s(usual_s: float, slowdown: float, average: float) -> float:
-    """Return how long work takes that begins during a slowdown.
+@dataclass(frozen=True, slots=True)
+class Start:
+    """What was known about the host when a run began.
 
-    Short work ends within the slowdown; the rest of longer work runs at the
-    average pace.
+    Attributes
+    ----------
+    factor
+        Slowdown that was expected for the run.
+    stated
+        Slowdown that the backend server stated.
+    is_known
+        Whether the stated slowdown described the moment of the start.
     """
-    within_s = SLOWDOWN_LASTS_S / slowdown
-    if usual_s <= within_s:
-        return usual_s * slowdown
-    return SLOWDOWN_LASTS_S + (usual_s - within_s) * average
+
+    factor: float = 1.0
+    stated: float = 1.0
+    is_known: bool = True
 
 
 @dataclass(slots=True)
 class Usual:
-    """Usual duration of one kind of request, in seconds."""
+    """Usual duration of one kind of request, in seconds.
+
+    Attributes
+    ----------
+    start_share
+        How much of a run the slowdown at its start decides, from 0 to 1. The
+        rest of the run goes at the average pace.
+    """
 
     usual_s: float = 0
     answers: int = 0
+    start_share: float = 1.0
 
     def learn(self, duration: float) -> None:
         """Take the duration of an answer."""
@@ -67,12 +84,19 @@
         weight = max(_USUAL_WEIGHT, 1 / min(self.answers, _FIRST_ANSWERS))
         self.usual_s += weight * (duration - self.usual_s)
 
+    def learn_start(self, slowdown: float, start: Start, mean: float) -> None:
+        """Take the slowdown of a run that began far from the average."""
+        contrast = start.stated - mean
+        if not start.is_known or abs(contrast) < _LEAST_CONTRAST:
+            return
+        share = min(1.0, max(0, (slowdown - mean) / contrast))
+        self.start_share += _START_WEIGHT * (share - self.start_share)
+
 
 class Pace:
     """Usual duration of requests, and how it differs now.
 
-    Durations are counted in work: the time without the slowdown that the
-    backend server states.
+    Durations are counted without the slowdown that the backend server states.
 
     Attributes
     ----------
@@ -80,54 +104,61 @@
         Usual duration of all requests.
     by_route
         Usual duration of the requests of each route.
+    stated
+        Slowdown that the backend server states.
     """
 
     def __init__(self) -> None:
         self.overall = Usual()
         self.by_route: dict[RouteId, Usual] = {}
+        self.stated = StatedSlowdown()
         self._pace = 1.0
         self._pace_at = Seconds(0)
-        self._stated = 1.0
-        self._stated_at = Seconds(-math.inf)
-        self._average = 1.0
-        self._work: float = 0
-        self._work_at = Seconds(0)
 
     def reported(self, report: LoadReport, now: Seconds) -> None:
         """Take the slowdown that the backend server states."""
-        self.work(now)
-        self._stated = report.slowdown
-        self._stated_at = now
+        self.stated.reported(report.slowdown, now)
 
     def is_report_fresh(self, now: Seconds) -> bool:
         """Tell whether the newest report describes the present."""
-        return now - self._stated_at <= REPORT_AGE_S
+        return self.stated.age_s(now) <= REPORT_AGE_S
 
     def restart(self) -> None:
         """Forget the pace of an earlier backend server."""
         self._pace = 1.0
 
-    def work(self, now: Seconds) -> float:
-        """Return the work that one request could have got done up to now."""
-        passed = now - self._work_at
-        if passed > 0:
-            stated = self._average
-            if self.is_report_fresh(now):
-                stated = max(1.0, self._stated)
-                weight = min(1.0, passed / _AVERAGE_S)
-                self._average += weight * (stated - self._average)
-            self._work += passed / stated
-            self._work_at = now
-        return self._work
-
-    def learn(self, route: RouteId, duration: float, now: Seconds) -> None:
-        """Learn from the work that a good answer took."""
-        duration = max(duration, _LEAST_DURATION_S)
-        self.overall.learn(duration)
+    def begin(self, route: RouteId, now: Seconds) -> Start:
+        """Note what is known about the host when a run begins."""
+        stated = self.stated
+        return Start(
+            self._factor(route, now),
+            stated.present(now),
+            stated.is_fresh(now) or not stated.is_shared,
+        )
+
+    def learn(
+        self,
+        route: RouteId,
+        duration: float,
+        now: Seconds,
+        start: Start | None = None,
+    ) -> None:
+        """Learn from the time that a good answer took."""
+        start = start or Start()
         usual = self.by_route.setdefault(route, Usual())
-        usual.learn(duration)
-        ratio = min(duration / usual.usual_s, _MOST_RATIO)
-        pace = self._present(now)
+        is_early = usual.answers < _FIRST_ANSWERS
+        if not (start.is_known or is_early):
+            # The host may have been fast or slow.
+            return
+        duration = max(duration, _LEAST_DURATION_S)
+        if not is_early:
+            slowdown = duration / usual.usual_s
+            usual.learn_start(slowdown, start, self.stated.average)
+        plain_s = duration / start.factor
+        self.overall.learn(plain_s)
+        usual.learn(plain_s)
+        ratio = min(plain_s / usual.usual_s, _MOST_RATIO)
+        pace = self.unstated(now)
         self._pace = pace + _PACE_WEIGHT * (ratio - pace)
         self._pace_at = now
 
@@ -144,26 +175,25 @@
         )
         return self.usual_s(route) <= longest_s * _SHORT_SHARE
 
-    def expected_s(
-        self,
-        route: RouteId | None,
-        slowdown: float,
-        now: Seconds,
-    ) -> float:
-        """Return the time to an answer of a request that is sent now."""
-        average = self._average * self._present(now)
-        return duration_s(self.usual_s(route), slowdown, average)
-
-    def slowdown(self, now: Seconds) -> float:
-        """Return the duration of work now, relative to the usual one."""
-        age = max(0, now - self._stated_at)
-        stated = 1 + (self._stated - 1) * math.exp(-age / REPORT_AGE_S)
-        return max(_LEAST_SLOWDOWN, stated * self._present(now))
-
-    def _present(self, now: Seconds) -> float:
+    def slowdown(self, now: Seconds, route: RouteId | None = None) -> float:
+        """Return the slowdown of a run that begins now."""
+        return max(
+            _LEAST_SLOWDOWN,
+            self._factor(route, now) * self.unstated(now),
+        )
+
+    def unstated(self, now: Seconds) -> float:
+        """Return the slowdown beside the one that is stated."""
         age = max(0, now - self._pace_at)
         return 1 + (self._pace - 1) * math.exp(-age / _PACE_MEMORY_S)
 
+    def _factor(self, route: RouteId | None, now: Seconds) -> float:
+        """Return the stated slowdown, as far as it decides a run."""
+        usual = self.by_route.get(route) if route else None
+        share = usual.start_share if usual else 1.0
+        mean = self.stated.average
+        return mean + (self.stated.present(now) - mean) * share
+
 
 #: Weight of the newest outcome in the share of errors.
 _ERROR_WEIGHT: Final = 0.1
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/recheck.py
@@ -0,0 +1,29 @@
+"""A call that is due once after an interval, however often it is asked for."""
+
+from collections.abc import Callable
+from typing import Any
+
+
+class Recheck:
+    """Looks again after a while, one time for all who ask meanwhile."""
+
+    def __init__(
+        self,
+        clock: Any,
+        interval_s: float,
+        check: Callable[[], None],
+    ) -> None:
+        self.clock = clock
+        self.interval_s = interval_s
+        self.check = check
+        self.is_due = False
+
+    def start(self) -> None:
+        """Ask for a look after the interval."""
+        if not self.is_due:
+            self.is_due = True
+            self.clock.callLater(self.interval_s, self._passed)
+
+    def _passed(self) -> None:
+        self.is_due = False
+        self.check()
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -162,6 +162,13 @@
         Usual time to an answer, in seconds.
     error_share
         Share of recent requests that failed, from 0 to 1.
+    memory_s
+        Time in which the slowdown loses its meaning; zero if not known.
+    pause_s
+        Time for which the target holds work back, as its host is slow for a
+        moment; zero if it does not.
+    calm_slowdown
+        Slowdown after that time.
     """
 
     running: int = 0
@@ -170,6 +177,9 @@
     slowdown: float = 1.0
     service_s: float = 0
     error_share: float = 0
+    memory_s: float = 0
+    pause_s: float = 0
+    calm_slowdown: float = 1.0
 
 
 class Refusal(Enum):
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -14,6 +14,8 @@
     Forward,
     Refused,
 )
+from bilberryrail.forwarding.paused_work import PausedWork
+from bilberryrail.forwarding.recheck import Recheck
 from bilberryrail.forwarding.records import (
     BackendLoad,
     Failure,
@@ -50,6 +52,9 @@
     def reply(self, node: NodeId, reply: Reply) -> None:
         """Send an outcome to the node that asked."""
 
+    def look(self) -> None:
+        """Ask the backend server how slow its host is now."""
+
 
 class Target:
     """Admits, queues or refuses requests for the backend server.
@@ -82,13 +87,14 @@
         self.backend = backend
         self.port = port
         self.queue = WorkQueue()
+        self.paused = PausedWork(clock, port.look, self.changed)
         self.room = Room(backend)
         self.admission = Admission(settings.admission, self.room, self.queue)
         self.by_origin: dict[Origin, Work] = {}
         self.by_number: dict[int, Work] = {}
         self.on_decision: Callable[..., None] = _ignore
         self._numbers = itertools.count(1)
-        self._check: Any = None
+        self.recheck = Recheck(clock, _QUEUE_CHECK_S, self.changed)
 
     @property
     def idle(self) -> bool:
@@ -97,7 +103,8 @@
 
     def load(self) -> BackendLoad:
         """Return the load, for other nodes."""
-        return self.room.load(self._now(), len(self.queue))
+        waiting = len(self.queue) + len(self.paused)
+        return self.room.load(self._now(), waiting)
 
     def offer(self, node: NodeId, message: Forward) -> None:
         """Take a request from an ingress node."""
@@ -117,27 +124,21 @@
             self._refuse(work, reason, UNKNOWN_WAIT_S)
             return
         self.by_origin[origin] = work
-        if not len(self.queue) and self.room.is_free(now):
-            if self.admission.is_too_slow(work, now):
-                self._refuse(work, Refusal.SLOW, 0)
-            else:
-                self._send(work, now)
-        else:
-            self._wait(work, now)
+        self._admit(work, now)
 
     def cancel(self, node: NodeId, attempt: AttemptId) -> None:
         """Give up a request that nobody waits for."""
         work = self.by_origin.get(Origin(node, attempt))
         if work is not None:
             self._drop(work)
-            self._pump()
+            self.changed()
 
     def peer_lost(self, node: NodeId) -> None:
         """Give up the requests of a node that is out of reach."""
         for work in tuple(self.by_origin.values()):
             if work.origin.node == node:
                 self._drop(work)
-        self._pump()
+        self.changed()
 
     def answered(self, work: Work, answer: HttpAnswer) -> None:
         """Pass on the backend server's whole answer."""
@@ -163,7 +164,7 @@
             self.backend.pace.usual_s(work.message.route),
         )
         self.port.reply(work.origin.node, reply)
-        self._pump()
+        self.changed()
 
     def failed(self, work: Work, reason: Failure) -> None:
         """Report a request that may have run and has no answer."""
@@ -172,7 +173,7 @@
         self.on_decision('failed', work, reason=reason.value)
         reply = Failed(work.origin.attempt, reason, self.load())
         self.port.reply(work.origin.node, reply)
-        self._pump()
+        self.changed()
 
     def not_run(self, work: Work, reason: Refusal) -> None:
         """Report a request that the backend server did not run."""
@@ -182,15 +183,57 @@
             self.backend.errors.failed(self._now())
         self._end(work)
         self._refuse(work, reason, UNKNOWN_WAIT_S)
-        self._pump()
+        self.changed()
 
     def changed(self) -> None:
-        """Look at the queue after the backend server's state has changed."""
-        self._pump()
+        """Send what has room, and refuse what came too late."""
+        now = self._now()
+        reason = self.room.unavailable(now)
+        if reason is not None:
+            for work in (*self.queue, *self.paused.take()):
+                self.queue.cancel(work)
+                self._refuse(work, reason, UNKNOWN_WAIT_S)
+            return
+        for resumed in self.paused.take():
+            self._admit(resumed, now)
+        for late in self.admission.turn_away(now):
+            self._refuse(late, Refusal.LATE, self.admission.wait_s(late, now))
+        following = self.queue.peek()
+        while following is not None:
+            if not self._take(following, now):
+                self.recheck.start()
+                return
+            following = self.queue.peek()
 
     def _now(self) -> Seconds:
         return Seconds(self.clock.seconds())
 
+    def _admit(self, work: Work, now: Seconds) -> None:
+        """Send a request, hold it back, queue it or refuse it."""
+        if len(self.queue) or not self.room.is_free(now):
+            self._wait(work, now)
+        elif self.admission.is_too_slow(work, now):
+            self._refuse(work, Refusal.SLOW, 0)
+        else:
+            self._begin(work, now)
+
+    def _begin(self, work: Work, now: Seconds) -> None:
+        """Send a request, or hold it back while its host is slow."""
+        if not self.admission.is_premature(work, now):
+            self._send(work, now)
+            return
+        if work.paused_at is None:
+            work.paused_at = now
+            stated = self.backend.pace.stated
+            self.on_decision(
+                'pause',
+                work,
+                slowdown=round(stated.present(now), 2),
+                age_s=round(stated.age_s(now), 3),
+                episode_s=round(stated.episode_s, 3),
+            )
+        self.paused.add(work)
+
     def _wait(self, work: Work, now: Seconds) -> None:
         """Queue a request if it is likely to be served in time."""
         verdict = self.admission.judge(work, now)
@@ -204,25 +247,7 @@
             wait_s=round(verdict.wait_s, 4),
             late=work.is_late,
         )
-        self._schedule_check()
-
-    def _pump(self) -> None:
-        """Send what has room, and refuse what came too late."""
-        now = self._now()
-        reason = self.room.unavailable(now)
-        if reason is not None:
-            for work in tuple(self.queue):
-                self.queue.cancel(work)
-                self._refuse(work, reason, UNKNOWN_WAIT_S)
-            return
-        for late in self.admission.turn_away(now):
-            self._refuse(late, Refusal.LATE, self.admission.wait_s(late, now))
-        following = self.queue.peek()
-        while following is not None:
-            if not self._take(following, now):
-                self._schedule_check()
-                return
-            following = self.queue.peek()
+        self.recheck.start()
 
     def _take(self, work: Work, now: Seconds) -> bool:
         """Take the next request from the queue, if it can leave it now."""
@@ -234,7 +259,7 @@
         if not self.room.is_free(now):
             return False
         self.queue.pop()
-        self._send(work, now)
+        self._begin(work, now)
         return True
 
     def _send(self, work: Work, now: Seconds) -> None:
@@ -261,6 +286,7 @@
             self.port.abort(work)
         else:
             self.queue.cancel(work)
+            self.paused.cancel(work)
             self.by_origin.pop(work.origin, None)
 
     def _end(self, work: Work) -> None:
@@ -284,14 +310,6 @@
         )
         self.port.reply(work.origin.node, reply)
 
-    def _schedule_check(self) -> None:
-        if self._check is None:
-            self._check = self.clock.callLater(_QUEUE_CHECK_S, self._checked)
-
-    def _checked(self) -> None:
-        self._check = None
-        self._pump()
-
 
 def _ignore(event: str, work: Work, **fields: object) -> None:
     """Stand in for a log."""
--- a/packages/forwarding/bilberryrail/forwarding/target_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/target_test.py
@@ -6,6 +6,7 @@
 from twisted.internet.task import Clock
 
 from bilberryrail.core.ids import AttemptId, NodeId, Seconds
+from bilberryrail.forwarding.admission import MOST_LOOK_S
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.fixtures_test import (
     BOARD,
@@ -39,6 +40,10 @@
         self.sent = []
         self.aborted = []
         self.replies = []
+        self.looks = 0
+
+    def look(self):
+        self.looks += 1
 
     def dispatch(self, work, instance):
         self.sent.append(work)
@@ -87,6 +92,22 @@
         for attempt in attempts:
             self.target.offer(PEER, forward(attempt, **terms))
 
+    def share_host(self, slowdown=5.0):
+        """Let the host have been slow for a quarter of the time."""
+        for _ in repeat(None, 100):
+            self.clock.advance(0.05)
+            self.state(1.0)
+            self.clock.advance(0.1)
+            self.state(1.0)
+            self.clock.advance(0.05)
+            self.state(slowdown)
+        self.clock.advance(0.1)
+        self.warm()
+
+    def state(self, slowdown):
+        now = Seconds(self.clock.seconds())
+        self.backend.reported(LoadReport(0, 0, 10, slowdown), now)
+
     def running(self):
         return [work.message.attempt for work in self.port.sent]
 
@@ -288,3 +309,86 @@
     bench.warm()
     bench.offer(3)
     assert bench.running() == [1, 3]
+
+
+def test_run_waits_for_a_look_at_a_shared_host(bench):
+    # Guards against a run that begins while the host is slow, since its start
+    # decides how long it takes, although a look takes milliseconds.
+    bench.share_host()
+    bench.backend.pace.stated.look_s = 0.001
+    bench.offer(1)
+    assert bench.port.looks == 1
+    assert not bench.port.sent
+    bench.state(1.0)
+    bench.target.changed()
+    assert bench.running() == [1]
+
+
+def test_run_does_not_wait_for_a_look_that_is_not_answered(bench):
+    # Guards against requests that are held by a health check that hangs.
+    bench.share_host()
+    bench.backend.pace.stated.look_s = 0.001
+    bench.offer(1)
+    bench.clock.advance(MOST_LOOK_S)
+    assert bench.running() == [1]
+
+
+def test_short_run_is_sent_without_a_look(bench):
+    # Guards against a look that takes as long as what it saves.
+    bench.share_host()
+    bench.backend.pace.stated.look_s = 0.02
+    bench.offer(1)
+    assert not bench.port.looks
+    assert bench.running() == [1]
+
+
+def test_long_run_waits_out_a_short_episode(bench):
+    # Guards against work that begins on a slow host and takes five times as
+    # long, although the host is fast again after a moment.
+    bench.share_host()
+    bench.backend.pace.by_route.clear()
+    bench.backend.pace.overall.usual_s = 0.2
+    bench.state(5.0)
+    bench.offer(1)
+    assert not bench.port.sent
+    bench.clock.advance(0.05)
+    bench.state(1.0)
+    bench.target.changed()
+    assert bench.running() == [1]
+
+
+def test_long_episode_is_not_waited_out(bench):
+    # Guards against requests that are held on a host that stays slow.
+    bench.share_host()
+    bench.backend.pace.overall.usual_s = 0.2
+    bench.state(5.0)
+    bench.offer(1)
+    for _ in repeat(None, 80):
+        bench.clock.advance(0.02)
+        bench.state(5.0)
+        bench.target.changed()
+    assert bench.running() == [1]
+    bench.offer(2)
+    assert bench.running() == [1, 2]
+
+
+def test_held_back_request_can_be_cancelled(bench):
+    # Guards against a request that runs although its client has gone.
+    bench.share_host()
+    bench.backend.pace.stated.look_s = 0.001
+    bench.offer(1)
+    bench.target.cancel(PEER, AttemptId(1))
+    bench.clock.pump(repeat(0.02, 20))
+    assert not bench.port.sent
+    assert bench.target.idle
+
+
+def test_held_back_requests_are_refused_when_the_zone_is_out(bench):
+    # Guards against work in a zone that was taken out while it was held back.
+    bench.share_host()
+    bench.backend.pace.stated.look_s = 0.001
+    bench.offer(1)
+    bench.target.room.zone_out = True
+    bench.target.changed()
+    assert bench.port.refusals() == [Refusal.ZONE_OUT]
+    assert bench.target.idle
--- a/packages/forwarding/bilberryrail/forwarding/work_queue.py
+++ b/packages/forwarding/bilberryrail/forwarding/work_queue.py
@@ -31,6 +31,8 @@
         Whether its answer will come after the time in which it is worth most.
     entry
         Its newest place in the queue; zero if it does not wait.
+    paused_at
+        When it was held back because of the host's speed.
     """
 
     number: int
@@ -40,6 +42,7 @@
     expires_at: Seconds
     is_late: bool = False
     entry: int = 0
+    paused_at: Seconds | None = None
 
     @property
     def is_worth_most_until(self) -> Seconds:
--- a/packages/gateway/bilberryrail/gateway/health_checker.py
+++ b/packages/gateway/bilberryrail/gateway/health_checker.py
@@ -54,6 +54,16 @@
         """Begin to check."""
         self._tick()
 
+    def look(self) -> None:
+        """Check now, unless a check is under way."""
+        rules = self.target.backend.rules
+        if rules is not None and not self.is_running:
+            self.is_running = True
+            checking: Deferred[Any] = ensureDeferred(
+                self._check(rules.health_path),
+            )
+            checking.addErrback(self._broken)
+
     def move(self, address: Address) -> None:
         """Check the health of a backend server at another address."""
         self.channel.close()
@@ -71,18 +81,13 @@
 
     def _tick(self) -> None:
         self.reactor.callLater(INTERVAL_S, self._tick)
-        rules = self.target.backend.rules
-        if rules is not None and not self.is_running:
-            self.is_running = True
-            checking: Deferred[Any] = ensureDeferred(
-                self._check(rules.health_path),
-            )
-            checking.addErrback(self._broken)
+        self.look()
 
     async def _check(self, path: str) -> None:
         backend = self.target.backend
         was_down = backend.down
         instance = backend.instance
+        began_at = self.reactor.seconds()
         try:
             raw = await self.channel.ask(
                 b'GET', path.encode(), (), b'', TIMEOUT_S
@@ -92,6 +97,8 @@
             if 'refused' in str(error).lower():
                 backend.down = True
         else:
+            took_s = self.reactor.seconds() - began_at
+            backend.pace.stated.looked(took_s)
             result = self.dialect.health(raw.status, tuple(raw.headers))
         self.is_running = False
         backend.checked(result, Seconds(self.reactor.seconds()))
--- a/packages/gateway/bilberryrail/gateway/health_checker_test.py
+++ b/packages/gateway/bilberryrail/gateway/health_checker_test.py
@@ -85,3 +85,16 @@
     bench.backend.heard(beat(), 200)
     bench.checker.start()
     assert not FakeChannel.waiting
+
+
+def test_look_is_a_check_between_two_others(bench):
+    # Guards against a request that waits for the next regular check.
+    bench.checker.start()
+    FakeChannel.waiting[0].callback(RawAnswer(status=200))
+    bench.checker.reactor.advance(0.01)
+    bench.checker.look()
+    bench.checker.look()
+    assert len(FakeChannel.waiting) == 2
+    bench.checker.reactor.advance(0.1)
+    FakeChannel.waiting[1].callback(RawAnswer(status=200))
+    assert bench.target.backend.pace.stated.look_s > 0.005
--- a/packages/gateway/bilberryrail/gateway/switchboard.py
+++ b/packages/gateway/bilberryrail/gateway/switchboard.py
@@ -1,5 +1,6 @@
 """Carries messages between the roles of this node and other nodes."""
 
+from collections.abc import Callable
 from typing import Any
 
 from bilberryrail.core.ids import NodeId, Seconds
@@ -20,7 +21,13 @@
 
 
 class RolePorts:
-    """Port of both roles: sends to this node itself without a socket."""
+    """Port of both roles: sends to this node itself without a socket.
+
+    Attributes
+    ----------
+    look
+        Asks the backend server how slow its host is now.
+    """
 
     def __init__(self, node: NodeId, pool: BackendPool) -> None:
         self.node = node
@@ -28,6 +35,7 @@
         self.links: Links | None = None
         self.target: Target | None = None
         self.ingress: Ingress | None = None
+        self.look: Callable[[], None] = _look_nowhere
 
     def dispatch(self, work: Work, instance: InstanceId) -> None:
         """Send a request to the backend server."""
@@ -66,6 +74,10 @@
                 self.ingress.failed(node, reply)
 
 
+def _look_nowhere() -> None:
+    """Stand in for health checks."""
+
+
 class Switchboard:
     """Handles what links report.
 
