Ask near targets with old reports before another region; measure distances

Change: the port asks the health checker, with a test of the composed process. A near target whose report is old is asked first and told how soon the other region would answer; it passes on at once if it is slower. Links measure round trips at Hello and by a ping each 15 s; longer ones are believed a tenth at a time. The priors are settings.

--- a/packages/forwarding/bilberryrail/forwarding/candidates.py
+++ b/packages/forwarding/bilberryrail/forwarding/candidates.py
@@ -31,6 +31,9 @@
 #: refuses at once if that is still so.
 CLOSED_MEMORY_S: Final = 0.5
 
+#: Weight of a report from which it describes the present.
+_FRESH: Final = 0.8
+
 _Key = TypeVar('_Key')
 
 
@@ -120,6 +123,10 @@
         expected_s += running_s * (1 + _SHARED_HOST * share)
         return expected_s * (1 + load.error_share * _ERROR_COST)
 
+    def is_fresh(self, candidate: Candidate, now: Seconds) -> bool:
+        """Tell whether the newest report describes the present."""
+        return self._freshness(candidate, now) >= _FRESH
+
     def soonest_s(
         self,
         candidate: Candidate,
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/distances.py
@@ -0,0 +1,75 @@
+"""Round trips to the availability zones and regions, as links show them."""
+
+from typing import Final
+
+import msgspec
+
+from bilberryrail.core.ids import AvailabilityZoneId, RegionId
+from bilberryrail.forwarding.records import Peer
+
+#: Part of the difference by which a longer round trip is believed. Shorter
+#: ones are believed at once: what delays a message is mostly a busy process.
+_RISE: Final = 0.1
+
+_Place = tuple[RegionId, AvailabilityZoneId]
+
+
+class DistanceSettings(msgspec.Struct, frozen=True):
+    """Round trips that are assumed before any is measured.
+
+    Attributes
+    ----------
+    zone_s, region_s
+        Round trip to another availability zone of the region, and to another
+        region.
+    zone_cost_s
+        Extra time that a target in another availability zone counts for, as
+        traffic between them is paid by volume.
+    """
+
+    zone_s: float = 0.002
+    region_s: float = 0.06
+    zone_cost_s: float = 0.002
+
+
+class Distances:
+    """Learned round trips from this node.
+
+    Attributes
+    ----------
+    measured
+        Round trip to each availability zone, in seconds.
+    """
+
+    def __init__(
+        self,
+        settings: DistanceSettings,
+        zone: AvailabilityZoneId,
+        region: RegionId,
+    ) -> None:
+        self.settings = settings
+        self.own: _Place = (region, zone)
+        self.measured: dict[_Place, float] = {}
+
+    def learn(self, peer: Peer, round_trip_s: float) -> None:
+        """Take the round trip of a message to a node."""
+        place = (peer.region, peer.zone)
+        known_s = self.measured.get(place, round_trip_s)
+        if round_trip_s > known_s:
+            round_trip_s = known_s + _RISE * (round_trip_s - known_s)
+        self.measured[place] = round_trip_s
+
+    def round_trip_s(self, peer: Peer) -> float:
+        """Return the round trip to a node."""
+        place = (peer.region, peer.zone)
+        if place == self.own:
+            return 0
+        is_near = peer.region == self.own[0]
+        prior_s = self.settings.zone_s if is_near else self.settings.region_s
+        return self.measured.get(place, prior_s)
+
+    def score_s(self, peer: Peer) -> float:
+        """Return what the way to a target adds to its expected time."""
+        is_own = (peer.region, peer.zone) == self.own
+        cost_s = 0 if is_own else self.settings.zone_cost_s
+        return self.round_trip_s(peer) + cost_s
--- a/packages/forwarding/bilberryrail/forwarding/selection.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection.py
@@ -14,6 +14,7 @@
     ServiceId,
 )
 from bilberryrail.forwarding.candidates import Candidate, Estimates
+from bilberryrail.forwarding.distances import Distances
 from bilberryrail.forwarding.records import (
     BackendLoad,
     BackendPhase,
@@ -85,6 +86,8 @@
         Until when a service is taken to have no room in a region.
     estimates
         Expected times to an answer.
+    distances
+        Round trips to the targets.
     """
 
     def __init__(self, settings: ForwardingSettings, random: Random) -> None:
@@ -93,6 +96,9 @@
         self.candidates: dict[NodeId, Candidate] = {}
         self.by_service: dict[ServiceId, list[Candidate]] = {}
         self.zones_out: frozenset[AvailabilityZoneId] = frozenset()
+        self.distances = Distances(
+            settings.distances, settings.zone, settings.region
+        )
         self.estimates = Estimates(settings.placement.slowdown_memory_s)
         self.crowded_until: dict[tuple[ServiceId, RegionId], Seconds] = {}
 
@@ -177,7 +183,7 @@
         ranked = self._rank(near, demand, now)
         if not ranked or ranked[0][0] > demand.aim_s:
             ranked = self._nearer_or_faster(
-                ranked, self._rank(far, demand, now), demand
+                ranked, self._rank(far, demand, now), demand, now
             )
         if not ranked:
             return None
@@ -200,19 +206,11 @@
         now: Seconds,
     ) -> float:
         score = self.estimates.expected_s(candidate, route, now)
-        score += self._distance_s(candidate)
+        score += self.distances.score_s(candidate.peer)
         if candidate.is_closed(now):
             score += _NO_ROOM_S
         return score * (1 + _SPREAD * (self.random.random() - 1 / 2))
 
-    def _distance_s(self, candidate: Candidate) -> float:
-        placement = self.settings.placement
-        if candidate.peer.region != self.settings.region:
-            return placement.region_distance_s
-        if candidate.peer.zone != self.settings.zone:
-            return placement.zone_penalty_s
-        return 0
-
     def _allowed(self, demand: Demand) -> Iterable[Candidate]:
         homes = demand.home_regions
         for candidate in self.by_service.get(demand.service, ()):
@@ -257,15 +255,22 @@
         near: list[tuple[float, Candidate]],
         far: list[tuple[float, Candidate]],
         demand: Demand,
+        now: Seconds,
     ) -> list[tuple[float, Candidate]]:
         """Choose another region only if it answers in time and this one not.
 
-        The link between regions is narrow and paid by volume.
+        The link between regions is narrow and paid by volume. A target of this
+        region whose report is old is asked first: it passes the request on at
+        once if it is as slow as it seems.
         """
         if not near:
             return far
         is_in_time = bool(far) and far[0][0] <= demand.aim_s
-        return far if is_in_time else near
+        if not is_in_time:
+            return near
+        if self.estimates.is_fresh(near[0][1], now):
+            return far
+        return [near[0], far[0]]
 
     def _replace(self, candidate: Candidate, peer: Peer) -> None:
         if candidate.peer.instance != peer.instance:
--- a/packages/forwarding/bilberryrail/forwarding/selection_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection_test.py
@@ -173,3 +173,32 @@
     demand = Demand(BOARD, ROUTE, (), 0.3)
     choice = book.choose(demand, set(), {'a', 'b'}, NOW)
     assert choice.bound_s == 0
+
+
+def test_near_target_with_an_old_report_is_asked_before_another_region(book):
+    # Guards against a quarter of all lookups that crossed the narrow link
+    # because of reports that were no longer true. The near target is told how
+    # soon the other region answers, and passes on at once what is slower.
+    for node in ('a', 'b', 'far'):
+        slowdown = 1.0 if node == 'far' else 5.0
+        report = load(slowdown=slowdown, memory_s=0.5, limit=8)
+        book.reported(NodeId(node), report, Seconds(NOW - 0.2))
+    demand = Demand(BOARD, ROUTE, (), 0.14)
+    choice = book.choose(demand, set(), set(), NOW)
+    assert choice.candidate.peer.node in {'a', 'b'}
+    assert 0.1 < choice.bound_s < 0.14
+    for node in ('a', 'b'):
+        book.reported(NodeId(node), load(slowdown=5.0, memory_s=0.5), NOW)
+    assert choose(book, aim_s=0.14) == 'far'
+
+
+def test_measured_round_trip_decides_about_another_region(book):
+    # Guards against the distance of one deployment on all others.
+    for node in ('a', 'b'):
+        book.reported(NodeId(node), load(slowdown=5.0), NOW)
+    book.reported(NodeId('far'), load(), NOW)
+    far = book.candidates[NodeId('far')].peer
+    book.distances.learn(far, 0.12)
+    assert choose(book, aim_s=0.14) != 'far'
+    book.distances.learn(far, 0.01)
+    assert choose(book, aim_s=0.14) == 'far'
--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bilberryrail.core.ids import AvailabilityZoneId, NodeId, RegionId
+from bilberryrail.forwarding.distances import DistanceSettings
 from bilberryrail.forwarding.repeats import RepeatSettings
 
 
@@ -11,11 +12,6 @@
 
     Attributes
     ----------
-    zone_penalty_s
-        Extra time that a target in another availability zone counts for;
-        traffic between zones is paid by volume.
-    region_distance_s
-        The same for another region: a round trip of 60 ms.
     draws
         Targets that are compared for one request.
     slowdown_memory_s
@@ -24,8 +20,6 @@
         Time for which a target that failed is avoided.
     """
 
-    zone_penalty_s: float = 0.004
-    region_distance_s: float = 0.06
     draws: int = 8
     slowdown_memory_s: float = 0.3
     avoid_s: float = 0.5
@@ -80,6 +74,7 @@
     zone: AvailabilityZoneId
     region: RegionId
     placement: PlacementSettings = PlacementSettings()
+    distances: DistanceSettings = DistanceSettings()
     admission: AdmissionSettings = AdmissionSettings()
     hedge: HedgeSettings = HedgeSettings()
     repeats: RepeatSettings = RepeatSettings()
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -22,6 +22,9 @@
 #: Time to exchange Hello.
 HELLO_TIMEOUT_S: Final = 1.0
 
+#: Interval at which the round trip of a link is measured.
+MEASURE_INTERVAL_S: Final = 15.0
+
 #: Silence, while outcomes are due, after which a sign of life is asked for.
 PING_AFTER_S: Final = 0.25
 
@@ -57,6 +60,9 @@
     def suspected(self, node: NodeId) -> None:
         """Note that a peer owes answers for long."""
 
+    def measured(self, peer: Peer, round_trip_s: float) -> None:
+        """Note how long a message to a peer and its answer took."""
+
     def not_sent(self, node: NodeId, message: messages.Message) -> None:
         """Note a message that no link has taken."""
 
@@ -123,6 +129,7 @@
             self.transport.abortConnection,
         )
         if self.is_own:
+            self.pinged_at = self.heard_at
             self.send(self.links.events.hello(self.expected))
 
     def send(self, message: messages.Message) -> None:
@@ -150,6 +157,8 @@
             return
         if isinstance(message, messages.Hello):
             self._greeted(message)
+        elif isinstance(message, messages.Pong):
+            self._measured()
         if self.peer is None:
             self.links.log('link_without_hello', expected=self.expected)
             self.transport.loseConnection()
@@ -178,6 +187,8 @@
     def watch(self, now: float) -> None:
         """Ask a silent peer for a sign of life, avoid it, or give it up."""
         if not self.due:
+            if now - self.pinged_at > MEASURE_INTERVAL_S:
+                self._ping(now)
             return
         silence_s = now - self.heard_at
         if silence_s > LOST_AFTER_S:
@@ -186,8 +197,11 @@
         if silence_s > SUSPECT_AFTER_S:
             self.links.events.suspected(self.expected)
         if silence_s > PING_AFTER_S and now - self.pinged_at > PING_AFTER_S:
-            self.pinged_at = now
-            self.send(messages.Ping())
+            self._ping(now)
+
+    def _ping(self, now: float) -> None:
+        self.pinged_at = now
+        self.send(messages.Ping())
 
     def _greeted(self, hello: messages.Hello) -> None:
         if self.peer is not None:
@@ -206,8 +220,16 @@
             self.send(self.links.events.hello(hello.peer.node))
         self._pack_from_now(hello)
         self.is_up = True
+        if self.is_own:
+            self._measured()
         self.links.started(self)
 
+    def _measured(self) -> None:
+        """Report the time since the question that is answered now."""
+        if self.peer is not None:
+            now = self.links.reactor.seconds()
+            self.links.events.measured(self.peer, now - self.pinged_at)
+
     def _pack_from_now(self, hello: messages.Hello) -> None:
         """Compress what is paid for by volume, if the peer can read it."""
         place = self.links.traffic.place_of(hello.peer)
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -10,10 +10,12 @@
 from bilberryrail.core.ids import NodeId, RegionId
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.fixtures_test import forward, peer
+from bilberryrail.forwarding.records import BackendLoad
 from bilberryrail.gateway.http_server_test import FakeTransport, ignore
 from bilberryrail.gateway.link import (
     HELLO_TIMEOUT_S,
     LOST_AFTER_S,
+    MEASURE_INTERVAL_S,
     MOST_HELLO_BYTES,
     Link,
 )
@@ -63,6 +65,9 @@
     def replaced(self, node):
         self.log.append(('replaced', node))
 
+    def measured(self, found, round_trip_s):
+        self.log.append(('measured', found.node, round(round_trip_s, 3)))
+
     def not_sent(self, node, message):
         self.log.append(('not-sent', node, message.attempt))
 
@@ -241,3 +246,18 @@
         ('received', 'n2', 'Forward'),
         ('received', 'n2', 'Ping'),
     ]
+
+
+def test_round_trip_of_a_link_is_measured(bench):
+    # Guards against a distance that is assumed: other deployments' regions
+    # are nearer or farther.
+    bench.links.follow([peer('n2')])
+    link = bench.reactor.dialled[-1][1].buildProtocol(None)
+    link.makeConnection(FakeTransport())
+    bench.reactor.advance(0.07)
+    bench.deliver(link, messages.Hello(peer('n2'), 'n1'))
+    assert ('measured', 'n2', 0.07) in bench.events.log
+    bench.reactor.advance(MEASURE_INTERVAL_S + 0.1)
+    bench.reactor.advance(0.05)
+    bench.deliver(link, messages.Pong(BackendLoad()))
+    assert ('measured', 'n2', 0.05) in bench.events.log
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -230,7 +230,7 @@
             self.log.process,
         )
         self.health.on_checked = self.backend_changed
-        self.ports.look = self.health.look
+        self.ports.health = self.health
 
     def _listen(self, text: str, factory: Any) -> None:
         address = parse_address(text)
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/process_test.py
@@ -0,0 +1,50 @@
+"""Tests of the connections between the parts of a process."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from bilberryrail.core.ids import NodeId, Seconds
+from bilberryrail.forwarding.fixtures_test import (
+    BOARD,
+    RULES,
+    SETTINGS,
+    forward,
+)
+from bilberryrail.forwarding.work_queue import Origin, Work
+from bilberryrail.gateway.backend_pool_test import FakeDialect, FakeReactor
+from bilberryrail.gateway.http_server_test import ignore
+from bilberryrail.gateway.process import GatewayProcess
+from bilberryrail.gateway.settings import GatewaySettings, ListenSettings
+
+
+@pytest.fixture
+def process(tmp_path):
+    address = '127.0.0.1:1'
+    settings = GatewaySettings(
+        forwarding=SETTINGS,
+        listen=ListenSettings(*(address for _ in range(5))),
+        service=BOARD,
+        backend=address,
+        store=address,
+    )
+    return GatewayProcess(
+        settings,
+        tmp_path / 'node.json',
+        FakeReactor(),
+        FakeDialect(),
+        lambda *_: None,
+        SimpleNamespace(process=ignore, request=ignore),
+        ignore,
+    )
+
+
+def test_held_back_request_leads_to_a_health_check(process):
+    # Guards against looks at the host that reach no health checker: requests
+    # waited for an answer that nobody had asked for.
+    process.backend.rules = RULES
+    message = forward(1)
+    origin = Origin(NodeId('n2'), message.attempt)
+    work = Work(1, origin, message, Seconds(0), Seconds(1))
+    process.target.paused.add(work)
+    assert process.health.is_running
--- a/packages/gateway/bilberryrail/gateway/switchboard.py
+++ b/packages/gateway/bilberryrail/gateway/switchboard.py
@@ -1,6 +1,5 @@
 """Carries messages between the roles of this node and other nodes."""
 
-from collections.abc import Callable
 from typing import Any
 
 from bilberryrail.core.ids import NodeId, Seconds
@@ -9,25 +8,21 @@
 from bilberryrail.forwarding.operators import OperatorState
 from bilberryrail.forwarding.records import (
     InstanceId,
+    Peer,
     Refusal,
 )
 from bilberryrail.forwarding.target import Reply, Target
 from bilberryrail.forwarding.work_queue import Work
 from bilberryrail.gateway.backend_pool import BackendPool
 from bilberryrail.gateway.gossip import Gossip
+from bilberryrail.gateway.health_checker import HealthChecker
 from bilberryrail.gateway.link import Link
 from bilberryrail.gateway.links import Links
 from bilberryrail.gateway.presence import Presence
 
 
 class RolePorts:
-    """Port of both roles: sends to this node itself without a socket.
-
-    Attributes
-    ----------
-    look
-        Asks the backend server how slow its host is now.
-    """
+    """Port of both roles: sends to this node itself without a socket."""
 
     def __init__(self, node: NodeId, pool: BackendPool) -> None:
         self.node = node
@@ -35,7 +30,7 @@
         self.links: Links | None = None
         self.target: Target | None = None
         self.ingress: Ingress | None = None
-        self.look: Callable[[], None] = _look_nowhere
+        self.health: HealthChecker | None = None
 
     def dispatch(self, work: Work, instance: InstanceId) -> None:
         """Send a request to the backend server."""
@@ -45,6 +40,10 @@
         """Close the connection on which a request runs."""
         self.pool.abort(work)
 
+    def look(self) -> None:
+        """Ask the backend server how slow its host is now."""
+        self.health.look()
+
     def reply(self, node: NodeId, reply: Reply) -> None:
         """Give an outcome to the ingress that asked, here or elsewhere."""
         if node == self.node:
@@ -74,10 +73,6 @@
                 self.ingress.failed(node, reply)
 
 
-def _look_nowhere() -> None:
-    """Stand in for health checks."""
-
-
 class Switchboard:
     """Handles what links report.
 
@@ -163,6 +158,10 @@
         """Avoid a target that owes answers for long."""
         self.presence.book.avoid(node, Seconds(self.clock.seconds()))
 
+    def measured(self, peer: Peer, round_trip_s: float) -> None:
+        """Learn the way to a peer."""
+        self.presence.book.distances.learn(peer, round_trip_s)
+
     def not_sent(self, node: NodeId, message: messages.Message) -> None:
         """Return a request that no link has taken."""
         if isinstance(message, messages.Forward):
