--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -274,6 +274,7 @@
             version=exchange.version,
             repeat=is_repeat,
             expected_s=round(choice.expected_s, 4),
+            aim_left_s=round(exchange.aim_left_s(now), 3),
             report_age_s=round(now - choice.candidate.load_at, 3),
         )
         self.hedging.watch(exchange, choice, now)
