--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -6,7 +6,6 @@
 
 from bilberryrail.core.ids import Seconds, ServiceId
 from bilberryrail.forwarding.cold import ColdLimiter
-from bilberryrail.forwarding.concurrency import LearnedLimit
 from bilberryrail.forwarding.load_report import (
     HealthResult,
     Heartbeat,
@@ -21,15 +20,11 @@
     ServiceRules,
 )
 from bilberryrail.forwarding.settings import AdmissionSettings
-from bilberryrail.forwarding.slowdown import SLOW
 
 #: Multiple of the usual duration from which a running request without an
 #: answer tells that the backend server is slow.
 _STALL_FACTOR: Final = 3.0
 
-#: Slowdown beside the stated one up to which the concurrency is learned from.
-_MOST_PACE: Final = 2.0
-
 #: Failed health checks in a row after which a backend server is ill.
 _FAILED_CHECKS: Final = 2
 
@@ -51,14 +46,11 @@
     ----------
     start
         What was known about the host.
-    running
-        Requests at the backend server then, this one included.
     """
 
     route: RouteId
     at: Seconds
     start: Start
-    running: int
 
 
 class Backend:
@@ -88,7 +80,6 @@
         self.cold = ColdLimiter()
         self.pace = Pace()
         self.errors = ErrorShare()
-        self.concurrency = LearnedLimit(settings.slot_share)
         self.rules: ServiceRules | None = None
         self.running: dict[int, Sent] = {}
         self._beside_us = 0
@@ -161,11 +152,7 @@
 
     def started(self, number: int, route: RouteId, now: Seconds) -> None:
         """Note a request that is sent to the backend server."""
-        running = self.occupancy(now) + 1
-        crowding = self.concurrency.crowding(running)
-        start = self.pace.begin(route, now, crowding)
-        self.running[number] = Sent(route, now, start, running)
-        self.concurrency.started(running)
+        self.running[number] = Sent(route, now, self.pace.begin(route, now))
         self.cold.note(now)
         self._tried_at = now
 
@@ -179,7 +166,6 @@
         self.errors.answered(now)
         sent = self.running.get(number)
         if sent is not None:
-            self._learn_concurrency(sent, now)
             self.pace.learn(sent.route, now - sent.at, now, sent.start)
 
     def is_usable(self, now: Seconds) -> bool:
@@ -194,7 +180,7 @@
 
     def limit(self) -> int:
         """Return how many requests may run at the same time."""
-        limit = self.concurrency.limit(self.slots)
+        limit = max(1, int(self.slots * self.settings.slot_share))
         if self.rules is not None:
             limit = min(limit, self.rules.max_connections)
         return limit
@@ -229,8 +215,7 @@
         Without a route, that of the usual mix of requests.
         """
         slowdown = max(self.pace.slowdown(now, route), self._stall(now))
-        crowding = self.concurrency.crowding(self.occupancy(now) + 1)
-        return self.pace.usual_s(route) * slowdown * crowding
+        return self.pace.usual_s(route) * slowdown
 
     def load(self, now: Seconds, waiting: int) -> BackendLoad:
         """Summarize the load for other nodes."""
@@ -246,22 +231,6 @@
             calm_slowdown=round(self.pace.unstated(now), 2),
         )
 
-    def _learn_concurrency(self, sent: Sent, now: Seconds) -> None:
-        """Learn how work depends on what runs beside it, in usual times.
-
-        A cold start, a slow host or a slow backend server says nothing about
-        that.
-        """
-        start = sent.start
-        usual_s = self.pace.known_s(sent.route)
-        is_slow = start.stated >= SLOW or self.pace.unstated(now) > _MOST_PACE
-        if is_slow or not usual_s or self.cold.is_cold(now):
-            return
-        if start.is_known:
-            running = (sent.running + self.occupancy(now) + 1) // 2
-            alone_s = usual_s * start.factor / start.crowding
-            self.concurrency.answered(running, (now - sent.at) / alone_s)
-
     def _say_cold(self, cold_s: float, now: Seconds) -> None:
         if cold_s > 0:
             self.cold.turned_cold(cold_s, now)
--- a/packages/forwarding/bilberryrail/forwarding/pace.py
+++ b/packages/forwarding/bilberryrail/forwarding/pace.py
@@ -52,8 +52,6 @@
     ----------
     factor
         Slowdown that was expected for the run.
-    crowding
-        Part of it that is due to the requests beside it.
     stated
         Slowdown that the backend server stated.
     is_known
@@ -63,7 +61,6 @@
     factor: float = 1.0
     stated: float = 1.0
     is_known: bool = True
-    crowding: float = 1.0
 
 
 @dataclass(slots=True)
@@ -130,19 +127,13 @@
         """Forget the pace of an earlier backend server."""
         self._pace = 1.0
 
-    def begin(
-        self,
-        route: RouteId,
-        now: Seconds,
-        crowding: float = 1.0,
-    ) -> Start:
+    def begin(self, route: RouteId, now: Seconds) -> Start:
         """Note what is known about the host when a run begins."""
         stated = self.stated
         return Start(
-            self._factor(route, now) * crowding,
+            self._factor(route, now),
             stated.present(now),
             stated.is_fresh(now) or not stated.is_shared,
-            crowding,
         )
 
     def learn(
@@ -161,7 +152,7 @@
             return
         duration = max(duration, _LEAST_DURATION_S)
         if not is_early:
-            slowdown = duration / (usual.usual_s * start.crowding)
+            slowdown = duration / usual.usual_s
             usual.learn_start(slowdown, start, self.stated.average)
         plain_s = duration / start.factor
         self.overall.learn(plain_s)
@@ -176,12 +167,6 @@
         usual = self.by_route.get(route) if route else None
         return (usual or self.overall).usual_s
 
-    def known_s(self, route: RouteId) -> float:
-        """Return a route's usual duration if enough answers show it."""
-        usual = self.by_route.get(route)
-        is_known = usual is not None and usual.answers >= _FIRST_ANSWERS
-        return usual.usual_s if is_known else 0
-
     def is_short(self, route: RouteId) -> bool:
         """Tell whether a route's requests are short among those seen here."""
         longest_s = max(
--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -31,8 +31,8 @@
     Attributes
     ----------
     slot_share
-        Share of the slots that is used until it is known how much more at a
-        time slows work down.
+        Share of the slots that is used; work slows down when a backend
+        server is nearly full.
     queue_per_slot
         Most requests that wait for each usable slot.
     cold_factor, cold_slack
