Refuse in a planned stop what cannot end in time, by route

New requests were refused from 0.7 of the grace on, for all routes alike; work of 1.6 s that was taken at 4.02 s was cut at 5.67 s, while short work could have been served for another second. Change: from 3 s on, when clients have turned away, a request is taken only if the longer of its route's target latency and five usual times ends before the process does; others are refused at once with a log line.

--- a/packages/gateway/bilberryrail/gateway/frontend.py
+++ b/packages/gateway/bilberryrail/gateway/frontend.py
@@ -1,6 +1,7 @@
 """Serves the clients on this host, and the backend server's own calls."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, Final
 
 from bilberryrail.core.ids import Seconds, ServiceId
@@ -18,10 +19,30 @@
 #: Retry time while this process shuts down; another node serves sooner.
 CLOSING_RETRY_S: Final = 0.05
 
+#: Multiple of the usual time that a request may take while this process ends;
+#: a slow host takes four to five times as long as a calm one.
+_SLOW_FACTOR: Final = 5.0
+
 _NOT_FOUND: Final = 404
 _BAD_REQUEST: Final = 400
 
 
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """The end of this process.
+
+    Attributes
+    ----------
+    takes_until
+        Until when new requests are taken whatever they need.
+    ends_at
+        When requests that still run are cut.
+    """
+
+    takes_until: Seconds
+    ends_at: Seconds
+
+
 class Frontend:
     """Finds the route of each request and hands it to the ingress role.
 
@@ -29,8 +50,8 @@
     ----------
     caller
         Service beside this node; backend servers are told that it calls.
-    is_refusing
-        Whether new requests are refused because the process ends.
+    closing
+        When the process ends; None while it does not.
     """
 
     def __init__(
@@ -49,7 +70,7 @@
         self.splits = splits
         self.log = log
         self.caller = ServiceId('')
-        self.is_refusing = False
+        self.closing: Closing | None = None
 
     def serve(
         self,
@@ -59,11 +80,8 @@
     ) -> Abandon | None:
         """Start to serve a request."""
         table = self.operators.table
-        if table is None or self.is_refusing:
-            retry_s = CLOSING_RETRY_S if self.is_refusing else NO_CONFIG_RETRY_S
-            self._refuse(
-                request, refusal_answer(retry_s, self.ingress.random), respond
-            )
+        if table is None:
+            self._refuse_for(request, NO_CONFIG_RETRY_S, respond)
             return None
         host = request.header(b'host')
         if host is None:
@@ -83,9 +101,33 @@
             self._refuse(request, HttpAnswer(_NOT_FOUND, is_own=True), respond)
             return None
         exchange = self._exchange(request, route, respond)
+        if not self._has_time(exchange):
+            self.log(
+                'closing_refuse',
+                request=exchange.request_id,
+                route=route.route,
+                left_s=round(self.closing.ends_at - exchange.arrived_at, 3),
+            )
+            self._refuse_for(request, CLOSING_RETRY_S, respond)
+            return None
         self.ingress.arrive(exchange)
         return lambda: self.ingress.abandon(exchange)
 
+    def _has_time(self, exchange: Exchange) -> bool:
+        """Tell whether a request is likely to end before this process does."""
+        closing = self.closing
+        if closing is None or exchange.arrived_at < closing.takes_until:
+            return True
+        usual_s = self.ingress.book.estimates.usual_s(
+            exchange.service,
+            exchange.route.route,
+        )
+        needed_s = max(
+            exchange.route.target_latency_s,
+            usual_s * _SLOW_FACTOR,
+        )
+        return exchange.arrived_at + needed_s <= closing.ends_at
+
     def _exchange(
         self,
         request: HttpRequest,
@@ -116,6 +158,16 @@
             return HttpAnswer(answer.status, (*answer.headers, *own))
         return answer
 
+    def _refuse_for(
+        self,
+        request: HttpRequest,
+        retry_s: float,
+        respond: Respond,
+    ) -> None:
+        """Refuse a request that may come back after a while."""
+        answer = refusal_answer(retry_s, self.ingress.random)
+        self._refuse(request, answer, respond)
+
     def _refuse(
         self,
         request: HttpRequest,
--- a/packages/gateway/bilberryrail/gateway/shutdown.py
+++ b/packages/gateway/bilberryrail/gateway/shutdown.py
@@ -3,12 +3,17 @@
 from collections.abc import Callable
 from typing import Any, Final
 
+from bilberryrail.core.ids import Seconds
+from bilberryrail.gateway.frontend import Closing
+
 #: Time for which the process serves clients at least; the platform takes a
 #: node out after two questions a second apart.
 LEAST_SERVING_S: Final = 3.2
 
-#: Part of the grace after which new requests are refused.
-REFUSE_SHARE: Final = 0.7
+#: Time for which new requests are taken whatever they need: clients are sent
+#: here until the platform has taken the node out, and may be cut only late in
+#: the grace.
+TAKING_S: Final = 3.0
 
 #: Time before the end of the grace at which the process ends in any case.
 LEFT_S: Final = 0.35
@@ -56,21 +61,28 @@
         process.presence.is_leaving = True
         process.backend_changed()
         process.client_server.is_closing = True
+        process.frontend.closing = Closing(
+            takes_until=Seconds(self.started_at + TAKING_S),
+            ends_at=Seconds(self._ends_at),
+        )
         self._check()
 
+    @property
+    def _ends_at(self) -> float:
+        """When the process ends in any case."""
+        grace_s = self.process.settings.lifecycle.grace_s
+        return self.started_at + grace_s - LEFT_S
+
     def _check(self) -> None:
         process = self.process
         now = self.reactor.seconds()
         elapsed = now - self.started_at
-        grace_s = process.settings.lifecycle.grace_s
         if not (process.ingress.idle and process.target.idle):
             self._busy_at = now
         if elapsed >= LEAST_SERVING_S:
             process.client_server.start_closing()
-        if elapsed >= grace_s * REFUSE_SHARE:
-            process.frontend.is_refusing = True
         is_quiet = now - self._busy_at >= QUIET_S
-        is_over = elapsed >= grace_s - LEFT_S
+        is_over = now >= self._ends_at
         if is_over or (is_quiet and elapsed >= LEAST_SERVING_S + QUIET_S):
             self._finish()
         else:
