--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -261,3 +261,14 @@
     bench.reactor.advance(0.05)
     bench.deliver(link, messages.Pong(BackendLoad()))
     assert ('measured', 'n2', 0.05) in bench.events.log
+
+
+def test_peer_that_was_silent_for_a_while_keeps_a_running_booking(bench):
+    # Guards against a booking that is given up, and cut at its backend server,
+    # because its node was silent for two seconds: nobody else may run it, so
+    # giving it up early wins nothing.
+    link = bench.dial()
+    link.send(forward(1, idempotent=False))
+    bench.reactor.pump(repeat(0.1, 20))
+    assert not link.transport.disconnecting
+    assert ('closed', 'n2') not in bench.events.log
