Log and count what backend servers state in their answers

The target keeps the last one of the present run and reports a change, which is logged as backend_notice and shown in two metrics. No decision uses it yet.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -10,10 +10,12 @@
     HealthResult,
     Heartbeat,
     LoadReport,
+    Notice,
 )
 from bilberryrail.forwarding.records import (
     BackendLoad,
     BackendPhase,
+    BackendRun,
     InstanceId,
     RouteId,
     ServiceRules,
@@ -72,6 +74,8 @@
         Whether it refuses connections.
     running
         Requests that are in flight, by number, oldest first.
+    notice
+        What its present run has stated last in an answer.
     """
 
     def __init__(self, settings: AdmissionSettings) -> None:
@@ -89,6 +93,7 @@
         self.errors = ErrorShare()
         self.rules: ServiceRules | None = None
         self.running: dict[int, RunningRequest] = {}
+        self.notice = Notice()
         self._untracked_running = 0
         self._failed_checks = 0
         self._warm_at = Seconds(-math.inf)
@@ -155,6 +160,13 @@
         else:
             self._failed_checks += 1
 
+    @property
+    def run(self) -> BackendRun | None:
+        """The present run; None if no backend server is known."""
+        if self.instance is None:
+            return None
+        return BackendRun(self.instance, self.born_ms)
+
     def load_reported(self, report: LoadReport, now: Seconds) -> None:
         """Apply a load report of the backend server."""
         self.service_time.load_reported(report, now)
@@ -273,6 +285,7 @@
         self.phase = BackendPhase.ABSENT
         self._warm_at = Seconds(-math.inf)
         self._failed_checks = 0
+        self.notice = Notice()
         self.service_time.restart()
         self.errors = ErrorShare()
 
--- a/packages/forwarding/bilberryrail/forwarding/load_report.py
+++ b/packages/forwarding/bilberryrail/forwarding/load_report.py
@@ -1,6 +1,8 @@
-"""Heartbeats, load reports and health check results of backend servers."""
+"""Heartbeats, load reports, notices and health checks of backend servers."""
 
+import math
 from dataclasses import dataclass
+from enum import Enum
 
 from bilberryrail.core.ids import ServiceId
 from bilberryrail.forwarding.records import BackendPhase, InstanceId
@@ -52,6 +54,30 @@
     slowdown: float = 1.0
 
 
+class NoticeSource(Enum):
+    """What kind of answer a notice is part of."""
+
+    ANSWER = 'answer'
+    HEALTH_CHECK = 'health-check'
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """What a backend server states about itself in an answer.
+
+    Attributes
+    ----------
+    rate_limit
+        Requests per second that it accepts from all nodes together; infinite if
+        it states no limit.
+    is_leaving
+        Whether it states that it leaves.
+    """
+
+    rate_limit: float = math.inf
+    is_leaving: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class HealthResult:
     """Result of a health check.
@@ -65,9 +91,12 @@
         it.
     load
         Its load report; None if there was none.
+    notice
+        What the answer states besides; None if there was no answer.
     """
 
     is_healthy: bool
     instance: InstanceId | None = None
     cold_s: float | None = None
     load: LoadReport | None = None
+    notice: Notice | None = None
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -106,6 +106,21 @@
     limits: ClientLimits = field(default_factory=ClientLimits)
 
 
+@dataclass(frozen=True, slots=True)
+class BackendRun:
+    """One run of a backend server.
+
+    Attributes
+    ----------
+    born_ms
+        Unix time of its start, in milliseconds, which distinguishes it from an
+        earlier run with the same id; zero if it is not known.
+    """
+
+    instance: InstanceId
+    born_ms: int = 0
+
+
 class BackendPhase(Enum):
     """State of a backend server, as the node beside it knows it."""
 
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -9,6 +9,7 @@
 from bilberryrail.forwarding.admission import Admission
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.coalescing_timer import CoalescingTimer
+from bilberryrail.forwarding.load_report import Notice, NoticeSource
 from bilberryrail.forwarding.messages import (
     Answered,
     Failed,
@@ -18,6 +19,7 @@
 from bilberryrail.forwarding.paused_work import PausedWork
 from bilberryrail.forwarding.records import (
     BackendLoad,
+    BackendRun,
     Failure,
     HttpAnswer,
     InstanceId,
@@ -84,6 +86,9 @@
         Requests that were sent to the backend server, by number.
     on_decision
         Called with the event, the request and fields for the decision log.
+    on_notice
+        Called with the notice, the run and the source when the backend server
+        states something new about itself.
     """
 
     def __init__(
@@ -106,6 +111,9 @@
         self.by_origin: dict[Origin, Work] = {}
         self.in_flight: dict[int, Work] = {}
         self.on_decision: Callable[..., None] = _ignore
+        self.on_notice: Callable[[Notice, BackendRun, NoticeSource], None] = (
+            _ignore_notice
+        )
         self._numbers = itertools.count(1)
         self.queue_timer = CoalescingTimer(
             clock, _QUEUE_CHECK_INTERVAL_S, self.process_queue
@@ -203,6 +211,17 @@
         self._refuse(work, reason, UNKNOWN_WAIT_S)
         self.process_queue()
 
+    def notice_received(
+        self, notice: Notice, run: BackendRun, source: NoticeSource
+    ) -> None:
+        """Apply what a run of the backend server states about itself.
+
+        A late answer of an earlier run is ignored.
+        """
+        if run == self.backend.run and notice != self.backend.notice:
+            self.backend.notice = notice
+            self.on_notice(notice, run, source)
+
     def process_queue(self) -> None:
         """Send queued requests while slots are free; refuse expired ones.
 
@@ -294,6 +313,7 @@
             self._refuse(work, Refusal.NO_BACKEND, UNKNOWN_WAIT_S)
             return
         self.in_flight[work.number] = work
+        work.run = self.backend.run
         self.backend.request_started(work.number, work.message.route, now)
         self.on_decision(
             'dispatch',
@@ -339,3 +359,9 @@
 
 def _ignore(event: str, work: Work, **fields: object) -> None:
     """Discard a decision; used until a log is attached."""
+
+
+def _ignore_notice(
+    notice: Notice, run: BackendRun, source: NoticeSource
+) -> None:
+    """Discard a notice; used until a log is attached."""
--- a/packages/forwarding/bilberryrail/forwarding/target_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/target_test.py
@@ -18,10 +18,13 @@
     HealthResult,
     Heartbeat,
     LoadReport,
+    Notice,
+    NoticeSource,
 )
 from bilberryrail.forwarding.messages import Answered, Failed, Refused
 from bilberryrail.forwarding.records import (
     BackendPhase,
+    BackendRun,
     Failure,
     HttpAnswer,
     InstanceId,
@@ -409,3 +412,32 @@
     bench.target.process_queue()
     assert bench.port.refusals() == [Refusal.ZONE_OUT]
     assert bench.target.is_idle
+
+
+def test_each_new_notice_is_reported_once(bench):
+    # Guards against a limit that no log line shows, and against a log line for
+    # each answer that repeats it.
+    noticed = []
+    bench.target.on_notice = lambda *fields: noticed.append(fields)
+    run = bench.backend.run
+    for _ in range(2):
+        bench.target.notice_received(Notice(7.5), run, NoticeSource.ANSWER)
+    assert noticed == [(Notice(7.5), run, NoticeSource.ANSWER)]
+
+
+def test_notice_of_an_earlier_run_is_ignored(bench):
+    # Guards against a limit that a restarted backend server never stated.
+    earlier = BackendRun(bench.backend.instance, born_ms=50)
+    bench.target.notice_received(Notice(7.5), earlier, NoticeSource.ANSWER)
+    assert bench.backend.notice == Notice()
+
+
+def test_notice_ends_with_the_run(bench):
+    # Guards against the limit of a backend server that has been replaced.
+    run = bench.backend.run
+    bench.target.notice_received(Notice(7.5), run, NoticeSource.ANSWER)
+    bench.backend.health_checked(
+        HealthResult(is_healthy=True, instance=InstanceId('i2')),
+        Seconds(bench.clock.seconds()),
+    )
+    assert bench.backend.notice == Notice()
--- a/packages/forwarding/bilberryrail/forwarding/work_queue.py
+++ b/packages/forwarding/bilberryrail/forwarding/work_queue.py
@@ -7,6 +7,7 @@
 
 from bilberryrail.core.ids import AttemptId, NodeId, Seconds
 from bilberryrail.forwarding.messages import Forward
+from bilberryrail.forwarding.records import BackendRun
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,8 @@
     paused_at
         When it was first paused because of the host's speed; None if it was
         not.
+    run
+        Run of the backend server that it was sent to; None if it was not sent.
     """
 
     number: int
@@ -44,6 +47,7 @@
     is_late: bool = False
     entry_number: int = 0
     paused_at: Seconds | None = None
+    run: BackendRun | None = None
 
     @property
     def target_latency_at(self) -> Seconds:
--- a/packages/gateway/bilberryrail/gateway/backend_pool.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool.py
@@ -8,6 +8,7 @@
 from twisted.internet.protocol import Protocol
 
 from bilberryrail.core.ids import Seconds
+from bilberryrail.forwarding.load_report import NoticeSource
 from bilberryrail.forwarding.records import (
     Failure,
     HttpAnswer,
@@ -300,6 +301,10 @@
         if head.load is not None:
             now = Seconds(self.reactor.seconds())
             self.target.backend.load_reported(head.load, now)
+        if head.notice is not None:
+            self.target.notice_received(
+                head.notice, work.run, NoticeSource.ANSWER
+            )
         match head.verdict:
             case Verdict.RAN:
                 answer = HttpAnswer(raw.status, raw.end_to_end, bytes(raw.body))
--- a/packages/gateway/bilberryrail/gateway/backend_pool_test.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool_test.py
@@ -8,7 +8,13 @@
 from bilberryrail.core.ids import NodeId, Seconds
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.fixtures_test import SETTINGS, forward
-from bilberryrail.forwarding.records import Failure, InstanceId, Refusal
+from bilberryrail.forwarding.load_report import Notice, NoticeSource
+from bilberryrail.forwarding.records import (
+    BackendRun,
+    Failure,
+    InstanceId,
+    Refusal,
+)
 from bilberryrail.forwarding.work_queue import Origin, Work
 from bilberryrail.gateway.backend_pool import MAX_BUFFERED_BYTES, BackendPool
 from bilberryrail.gateway.dialect import AnswerHead, Verdict
@@ -37,7 +43,7 @@
 
     def answer_head(self, status, headers, request_id):
         found = dict(headers).get(b'X-Verdict', b'ran').decode()
-        return AnswerHead(Verdict(found))
+        return AnswerHead(Verdict(found), notice=Notice(7.5))
 
 
 class FakeTarget:
@@ -46,6 +52,10 @@
     def __init__(self):
         self.backend = Backend(SETTINGS.admission)
         self.outcomes = []
+        self.notices = []
+
+    def notice_received(self, notice, run, source):
+        self.notices.append((notice, run, source))
 
     def answered(self, work, answer):
         self.outcomes.append((work.number, answer.body))
@@ -80,6 +90,7 @@
             message=message,
             arrived_at=Seconds(0),
             expires_at=Seconds(1000),
+            run=BackendRun(INSTANCE, born_ms=100),
         )
         self.pool.dispatch(work, INSTANCE)
         return work
@@ -257,3 +268,11 @@
     connection.dataReceived(b'%b%b' % (head, b'X: 1\r\n' * 1000))
     assert bench.target.outcomes == [(1, Failure.MALFORMED)]
     assert connection.transport.disconnecting
+
+
+def test_notice_is_attributed_to_the_run_that_got_the_request(bench):
+    # Guards against a late answer whose limit is applied to the next run.
+    bench.dispatch(1)
+    bench.open().dataReceived(answer())
+    run = BackendRun(INSTANCE, born_ms=100)
+    assert bench.target.notices == [(Notice(7.5), run, NoticeSource.ANSWER)]
--- a/packages/gateway/bilberryrail/gateway/decision_log.py
+++ b/packages/gateway/bilberryrail/gateway/decision_log.py
@@ -3,6 +3,8 @@
 from typing import Any
 
 from bilberryrail.forwarding.exchanges import Exchange
+from bilberryrail.forwarding.load_report import Notice, NoticeSource
+from bilberryrail.forwarding.records import BackendRun
 from bilberryrail.forwarding.work_queue import Work
 from bilberryrail.gateway.event_log import EventLog
 from bilberryrail.gateway.metrics import Metrics
@@ -28,6 +30,19 @@
             **fields,
         )
 
+    def notice_changed(
+        self, notice: Notice, run: BackendRun, source: NoticeSource
+    ) -> None:
+        """Log and count what the backend server newly states about itself."""
+        self.metrics.noticed(notice, source)
+        self.log.process(
+            'backend_notice',
+            instance=run.instance,
+            rate_limit=notice.rate_limit,
+            leaving=notice.is_leaving,
+            source=source.value,
+        )
+
     def ingress_decided(
         self, event: str, exchange: Exchange, **fields: Any
     ) -> None:
--- a/packages/gateway/bilberryrail/gateway/dialect.py
+++ b/packages/gateway/bilberryrail/gateway/dialect.py
@@ -13,6 +13,7 @@
     HealthResult,
     Heartbeat,
     LoadReport,
+    Notice,
 )
 from bilberryrail.forwarding.records import (
     Header,
@@ -66,10 +67,18 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Interpretation of the head of an answer."""
+    """Interpretation of the head of an answer.
+
+    Attributes
+    ----------
+    notice
+        What the backend server states besides; None if the answer is not known
+        to be its own.
+    """
 
     verdict: Verdict
     load: LoadReport | None = None
+    notice: Notice | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/bilberryrail/gateway/health_checker.py
+++ b/packages/gateway/bilberryrail/gateway/health_checker.py
@@ -6,7 +6,11 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 
 from bilberryrail.core.ids import Seconds
-from bilberryrail.forwarding.load_report import HealthResult
+from bilberryrail.forwarding.load_report import (
+    HealthResult,
+    Notice,
+    NoticeSource,
+)
 from bilberryrail.forwarding.target import Target
 from bilberryrail.gateway.dialect import Dialect
 from bilberryrail.gateway.http_channel import ChannelError, HttpChannel
@@ -103,6 +107,7 @@
             result = self.dialect.health(raw.status, tuple(raw.headers))
         self.is_running = False
         backend.health_checked(result, Seconds(self.reactor.seconds()))
+        self._pass_on_notice(result)
         if backend.down != was_down or backend.instance != instance:
             self.log(
                 'backend_changed',
@@ -112,6 +117,15 @@
             )
         self.on_checked()
 
+    def _pass_on_notice(self, result: HealthResult) -> None:
+        """Pass on what an answer states; one that omits it proves nothing."""
+        run = self.target.backend.run
+        is_present = run is not None and result.instance == run.instance
+        if is_present and result.notice not in {None, Notice()}:
+            self.target.notice_received(
+                result.notice, run, NoticeSource.HEALTH_CHECK
+            )
+
     def _check_failed(self, failure: Any) -> None:
         self.is_running = False
         self.log('health_check_broken', reason=failure.getTraceback())
--- a/packages/gateway/bilberryrail/gateway/health_checker_test.py
+++ b/packages/gateway/bilberryrail/gateway/health_checker_test.py
@@ -1,11 +1,14 @@
 """Tests of health checks of the backend server."""
 
+import math
+
 import pytest
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
 from bilberryrail.forwarding.backend_test import heartbeat
-from bilberryrail.forwarding.load_report import HealthResult
+from bilberryrail.forwarding.load_report import HealthResult, Notice
+from bilberryrail.forwarding.records import InstanceId
 from bilberryrail.forwarding.target_test import Bench as TargetBench
 from bilberryrail.gateway import health_checker
 from bilberryrail.gateway.answer_reader import RawAnswer
@@ -31,7 +34,12 @@
     """Reports a backend server as healthy if its answer has status 200."""
 
     def health(self, status, headers):
-        return HealthResult(is_healthy=status == 200, cold_s=0)
+        return HealthResult(
+            is_healthy=status == 200,
+            cold_s=0,
+            instance=InstanceId(dict(headers).get('instance', '')) or None,
+            notice=Notice(dict(headers).get('limit', math.inf)),
+        )
 
 
 @pytest.fixture
@@ -101,3 +109,22 @@
         bench.target.backend.service_time.reported_slowdown.health_check_s
         > 0.005
     )
+
+
+def test_limit_in_a_health_check_is_applied(bench):
+    # Guards against a restarted node that learns a limit only from the answer
+    # to its first request.
+    bench.checker.start()
+    headers = [('instance', 'i1'), ('limit', 7.5)]
+    FakeChannel.waiting[0].callback(RawAnswer(status=200, headers=headers))
+    assert bench.backend.notice == Notice(7.5)
+
+
+def test_health_check_without_a_limit_lifts_none(bench):
+    # Guards against a limit that is forgotten because a backend server states
+    # it only in answers to requests.
+    bench.backend.notice = Notice(7.5)
+    bench.checker.start()
+    headers = [('instance', 'i1')]
+    FakeChannel.waiting[0].callback(RawAnswer(status=200, headers=headers))
+    assert bench.backend.notice == Notice(7.5)
--- a/packages/gateway/bilberryrail/gateway/metrics.py
+++ b/packages/gateway/bilberryrail/gateway/metrics.py
@@ -1,11 +1,13 @@
 """Counters and latency histograms of the process, for Prometheus."""
 
+import math
 from http import HTTPStatus
 from typing import Final
 
-from aioprometheus import Counter, Histogram, Registry
+from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from bilberryrail.forwarding.load_report import Notice, NoticeSource
 from bilberryrail.forwarding.records import (
     HttpAnswer,
     HttpRequest,
@@ -47,6 +49,16 @@
         self.link_bytes = self._counter(
             'link_bytes_total', 'Bytes sent to other nodes by place and cause.'
         )
+        self.notices = self._counter(
+            'backend_notices_total',
+            'Changes of what the backend server states, by source.',
+        )
+        self.rate_limit = Gauge(
+            'bilberryrail_backend_rate_limit',
+            'Requests per second that the backend server accepts.',
+            registry=self.registry,
+        )
+        self.rate_limit.set({}, math.inf)
         self.latency = Histogram(
             'bilberryrail_answer_seconds',
             'Time from a request to its answer, by service.',
@@ -63,6 +75,11 @@
         """Count a decision about a request."""
         self.decisions.inc({'kind': kind, 'reason': reason})
 
+    def noticed(self, notice: Notice, source: NoticeSource) -> None:
+        """Record what the backend server states about itself."""
+        self.notices.inc({'source': source.value})
+        self.rate_limit.set({}, notice.rate_limit)
+
     def called_store(self, kind: str, result: str) -> None:
         """Count a call to the store."""
         self.store_calls.inc({'kind': kind, 'result': result})
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -172,6 +172,7 @@
         self.ports.ingress = self.ingress
         decisions = DecisionLog(self.reactor, self.log, self.metrics)
         self.target.on_decision = decisions.target_decided
+        self.target.on_notice = decisions.notice_changed
         self.ingress.on_decision = decisions.ingress_decided
         self.ingress.on_finished = decisions.request_finished
 
