--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/fleet_harness_test.py
@@ -0,0 +1,228 @@
+"""Several nodes of one service on a fake clock, for tests of their sum."""
+
+import itertools
+from collections import Counter
+from functools import partial
+from http import HTTPStatus
+from random import Random
+
+from twisted.internet.task import Clock
+
+from bilberryrail.core.ids import NodeId, Seconds
+from bilberryrail.forwarding import messages
+from bilberryrail.forwarding.backend import Backend
+from bilberryrail.forwarding.exchanges import Exchange
+from bilberryrail.forwarding.fixtures_test import (
+    BOARD,
+    RULES,
+    SETTINGS,
+    peer,
+    request,
+    route,
+)
+from bilberryrail.forwarding.ingress import Ingress
+from bilberryrail.forwarding.load_report import (
+    HealthResult,
+    Heartbeat,
+    Notice,
+    NoticeSource,
+)
+from bilberryrail.forwarding.records import (
+    BackendPhase,
+    ConfigVersion,
+    HttpAnswer,
+    InstanceId,
+)
+from bilberryrail.forwarding.selection import CandidateTable
+from bilberryrail.forwarding.target import Target
+
+#: Delay of each message between nodes, in seconds.
+HOP_S = 0.001
+HEALTH_CHECK_S = 0.2
+STEP_S = 0.005
+
+
+class BackendServer:
+    """A backend server that states a notice in each answer.
+
+    Attributes
+    ----------
+    arrivals
+        Time and ingress node of each request that it got.
+    """
+
+    def __init__(self, clock, name, *, slots=18, work_s=0.16):
+        self.clock = clock
+        self.instance = InstanceId(f'i-{name}')
+        self.slots = slots
+        self.work_s = work_s
+        self.notice = Notice()
+        self.arrivals = []
+
+
+class TargetNode:
+    """The target role of one node, with the port that it needs."""
+
+    def __init__(self, fleet, name, server):
+        self.fleet = fleet
+        self.name = name
+        self.server = server
+        self.is_running = True
+        self.backend = Backend(SETTINGS.admission)
+        self.backend.rules = RULES
+        self.target = Target(SETTINGS, fleet.clock, self.backend, self)
+        self.target.backend.heartbeat_received(
+            Heartbeat(
+                instance=server.instance,
+                service=BOARD,
+                address='10.0.0.1:80',
+                phase=BackendPhase.READY,
+                slots=server.slots,
+                born_ms=100,
+                sequence=1,
+            ),
+            fleet.now(),
+        )
+        self.check_health()
+
+    def check_health(self):
+        """Report a warm backend server; its health checks state no notice."""
+        if self.is_running:
+            self.backend.health_checked(
+                HealthResult(is_healthy=True, cold_s=0.0), self.fleet.now()
+            )
+
+    def dispatch(self, work, instance):
+        self.server.arrivals.append((self.fleet.now(), work.origin.node))
+        self.fleet.clock.callLater(self.server.work_s, self.finish, work)
+
+    def finish(self, work):
+        if self.is_running and work.number in self.target.in_flight:
+            self.target.notice_received(
+                self.server.notice, work.run, NoticeSource.ANSWER
+            )
+            answer = HttpAnswer(HTTPStatus.OK, (), b'ok')
+            self.target.answered(work, answer)
+
+    def abort(self, work):
+        """The backend server goes on with its work; nothing to do."""
+
+    def reply(self, node, reply):
+        self.fleet.clock.callLater(
+            HOP_S, self.fleet.deliver, self, NodeId(node), reply
+        )
+
+
+class Fleet:
+    """Ingress nodes and target nodes of one service.
+
+    Attributes
+    ----------
+    statuses
+        Number of answers to clients by status.
+    """
+
+    def __init__(self, ingresses, targets, **server_terms):
+        self.clock = Clock()
+        self.clock.advance(1000)
+        self.random = Random(5)
+        self.statuses = Counter()
+        self.request_ids = itertools.count(1)
+        self.targets = {}
+        for name in targets:
+            server = BackendServer(self.clock, name, **server_terms)
+            self.targets[name] = TargetNode(self, name, server)
+        self.ingresses = {
+            name: self.make_ingress(name) for name in ingresses
+        }
+        self.next_check_at = self.clock.seconds()
+
+    def now(self):
+        return Seconds(self.clock.seconds())
+
+    def server(self, name):
+        return self.targets[name].server
+
+    def make_ingress(self, name):
+        candidates = CandidateTable(SETTINGS, self.random)
+        candidates.update([peer(target) for target in self.targets])
+        links = OutgoingLinks(self, name)
+        return Ingress(SETTINGS, self.clock, self.random, candidates, links)
+
+    def arrive(self, name, **terms):
+        """Let a client send a request to an ingress node."""
+        found = route(**({'timeout_s': 4.0} | terms))
+        now = self.now()
+        exchange = Exchange(
+            request=request(),
+            request_id=f'q{next(self.request_ids)}',
+            route=found,
+            service=BOARD,
+            version=ConfigVersion(1),
+            arrived_at=now,
+            expires_at=Seconds(now + found.timeout_s),
+            respond=self.count_answer,
+        )
+        self.ingresses[name].serve(exchange)
+
+    def count_answer(self, answer):
+        self.statuses[int(answer.status)] += 1
+
+    def run(self, duration_s, per_s=0.0):
+        """Advance time; clients of each ingress send ``per_s`` requests."""
+        ends_at = self.clock.seconds() + duration_s
+        due = 0.0
+        while self.clock.seconds() < ends_at:
+            self.clock.advance(STEP_S)
+            if self.clock.seconds() >= self.next_check_at:
+                self.next_check_at += HEALTH_CHECK_S
+                for node in self.targets.values():
+                    node.check_health()
+            due += per_s * STEP_S
+            while due >= 1:
+                due -= 1
+                for name in self.ingresses:
+                    self.arrive(name)
+
+    def deliver(self, sender, node, reply):
+        """Deliver an outcome, unless its sender has ended meanwhile."""
+        if not sender.is_running:
+            return
+        ingress = self.ingresses[node]
+        match reply:
+            case messages.Answered():
+                ingress.answered(sender.name, reply)
+            case messages.Refused():
+                ingress.refused(sender.name, reply)
+            case messages.Failed():
+                ingress.failed(sender.name, reply)
+
+
+class OutgoingLinks:
+    """Links of one ingress node to all targets."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = NodeId(name)
+
+    def send(self, node, message):
+        self.fleet.clock.callLater(HOP_S, self.deliver, node, message)
+
+    def deliver(self, node, message):
+        target = self.fleet.targets[node].target
+        match message:
+            case messages.Forward():
+                target.offer(self.name, message)
+            case messages.Cancel(attempt=attempt):
+                target.cancel(self.name, attempt)
+
+
+def most_in_window(times, window_s, since=0.0):
+    """Return the largest number of times in any window that starts later."""
+    recent = sorted(at for at in times if at >= since)
+    in_window = partial(_count_from, recent, window_s)
+    return max(map(in_window, recent), default=0)
+
+
+def _count_from(times, window_s, start):
+    return sum(start <= at < start + window_s for at in times)
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/stated_limit_test.py
@@ -0,0 +1,47 @@
+"""Tests of backend servers that state a limit or their departure.
+
+Pattern of load: a service gets several times of what one of its backend servers
+says that it can take, through several ingress nodes.
+"""
+
+from bilberryrail.forwarding.fleet_harness_test import Fleet, most_in_window
+from bilberryrail.forwarding.load_report import Notice
+
+WINDOW_S = 4.0
+#: Time after which a newly stated limit holds in every window, in seconds.
+SETTLING_S = 4.0
+
+
+def allowed(rate_limit):
+    """Return how many requests may arrive in one window."""
+    return 1.5 * rate_limit * WINDOW_S + 5
+
+
+def arrivals(server, since):
+    times = [at for at, _ in server.arrivals]
+    return most_in_window(times, WINDOW_S, since)
+
+
+def test_backend_server_gets_no_more_than_its_stated_limit():
+    # Guards against a backend server in need that gets all the requests that
+    # its slots would allow, although it has stated a limit (issue 23).
+    fleet = Fleet(['n1', 'n2'], ['a', 'b'])
+    fleet.run(2, per_s=20)
+    server = fleet.server('a')
+    server.notice = Notice(rate_limit=7.5)
+    stated_at = fleet.now()
+    fleet.run(12, per_s=20)
+    assert arrivals(server, stated_at + SETTLING_S) <= allowed(7.5)
+
+
+def test_departure_stated_in_an_answer_ends_new_requests():
+    # Guards against requests to a backend server that says that it leaves in
+    # its answers only, before or without its announcement (issue 23).
+    fleet = Fleet(['n1', 'n2'], ['a', 'b'])
+    fleet.run(2, per_s=20)
+    server = fleet.server('a')
+    server.notice = Notice(is_leaving=True)
+    fleet.run(1, per_s=20)
+    known_at = fleet.now()
+    fleet.run(3, per_s=20)
+    assert not [at for at, _ in server.arrivals if at > known_at]
