--- a/packages/forwarding/bilberryrail/forwarding/fleet_harness_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/fleet_harness_test.py
@@ -105,7 +105,7 @@
             self.target.answered(work, answer)
 
     def abort(self, work):
-        """The backend server goes on with its work; nothing to do."""
+        """Do nothing: the backend server finishes its work."""
 
     def reply(self, node, reply):
         self.fleet.clock.callLater(
@@ -132,9 +132,7 @@
         for name in targets:
             server = BackendServer(self.clock, name, **server_terms)
             self.targets[name] = TargetNode(self, name, server)
-        self.ingresses = {
-            name: self.make_ingress(name) for name in ingresses
-        }
+        self.ingresses = {name: self.make_ingress(name) for name in ingresses}
         self.next_check_at = self.clock.seconds()
 
     def now(self):
