Expect other nodes to use up what a stated limit allows

Ingress nodes without fresh reports assumed that a limited target recovers its whole rate for them alone. A request expected after 0.28 s by a report of 4.6 s age was refused as late after a round trip between regions.

What a report says of the limit now holds for two seconds, without the recovery; then the target is tried again.

--- a/packages/forwarding/bilberryrail/forwarding/candidates.py
+++ b/packages/forwarding/bilberryrail/forwarding/candidates.py
@@ -35,6 +35,11 @@
 #: it refuses at once.
 CLOSED_MEMORY_S: Final = 0.5
 
+#: Time for which a report on what a stated limit allows is used, in seconds.
+#: After that the target is tried again; if it allows nothing, it refuses at
+#: once.
+RATE_CREDIT_MEMORY_S: Final = 2.0
+
 #: Smallest weight of a report that is considered to describe the present.
 _MIN_FRESH_WEIGHT: Final = 0.8
 
@@ -76,12 +81,17 @@
         return is_fresh and not self.load.limit
 
     def rate_wait_s(self, now: Seconds) -> float:
-        """Return how long a request waits because of a stated limit."""
+        """Return how long a request waits because of a stated limit.
+
+        The other nodes are assumed to use up what the limit allows after the
+        report, so the wait does not become shorter with the report's age.
+        """
         per_s = self.load.rate_limit
         if per_s is None or math.isinf(per_s):
             return 0
-        credit = self.load.rate_credit + per_s * (now - self.load_at)
-        return max(0, 1 + self.sent - credit) / per_s
+        if now - self.load_at > RATE_CREDIT_MEMORY_S:
+            return 0
+        return max(0, 1 + self.sent - self.load.rate_credit) / per_s
 
     def load_reported(self, load: BackendLoad, now: Seconds) -> None:
         """Apply a load report."""
--- a/packages/forwarding/bilberryrail/forwarding/selection_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection_test.py
@@ -10,6 +10,7 @@
     RegionId,
     Seconds,
 )
+from bilberryrail.forwarding.candidates import RATE_CREDIT_MEMORY_S
 from bilberryrail.forwarding.fixtures_test import BOARD, SETTINGS, peer
 from bilberryrail.forwarding.records import (
     BackendLoad,
@@ -231,11 +232,13 @@
     assert shares(candidates) == {'b': 100}
 
 
-def test_stated_limit_recovers_with_time(candidates):
-    # Guards against a limited target that gets nothing although it could take
-    # requests again.
+def test_limited_target_is_tried_again_after_a_while(candidates):
+    # Guards against nodes that all send requests to a limited target because
+    # they assume that none of the others does, and against a target that gets
+    # nothing although it could take requests again.
     limited = load(rate_limit=5.0, rate_credit=-2.0)
     candidates.load_reported(NodeId('a'), limited, NOW)
     found = candidates.by_node[NodeId('a')]
-    assert found.rate_wait_s(Seconds(NOW + 0.2)) == pytest.approx(0.4)
-    assert found.rate_wait_s(Seconds(NOW + 1)) == 0
+    assert found.rate_wait_s(Seconds(NOW + 1)) == pytest.approx(0.6)
+    later = Seconds(NOW + RATE_CREDIT_MEMORY_S + 0.1)
+    assert found.rate_wait_s(later) == 0
