Use another region for late requests if the near servers state limits

In a region whose backend servers state limits, a request that was expected to be late waited for a quarter of its time, was refused as late, and only then went to the region with free capacity: the other region was used only if it still met the target latency.

A stated limit does not pass in a moment like a busy one, so a late request now goes where it is answered sooner, and the age of a report on the host's speed no longer sends it to the near target first.

--- a/packages/forwarding/bilberryrail/forwarding/selection.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection.py
@@ -286,13 +286,18 @@
         report of the best target in this region is old, that target is tried
         first: it refuses the request at once if it is as slow as the report
         says.
+
+        A backend server that states a limit does not become faster in a moment,
+        and a request that waits there delays others. Then the other region is
+        also used for a late request if it answers sooner.
         """
         if not near:
             return far
+        is_limited = near[0][1].rate_wait_s(now) > 0
         is_in_time = bool(far) and far[0][0] <= demand.target_latency_left_s
         if not is_in_time:
-            return near
-        if self.estimates.is_fresh(near[0][1], now):
+            return sorted([*near, *far], key=_score_of) if is_limited else near
+        if is_limited or self.estimates.is_fresh(near[0][1], now):
             return far
         return [near[0], far[0]]
 
--- a/packages/forwarding/bilberryrail/forwarding/selection_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection_test.py
@@ -242,3 +242,22 @@
     assert found.rate_wait_s(Seconds(NOW + 1)) == pytest.approx(0.6)
     later = Seconds(NOW + RATE_CREDIT_MEMORY_S + 0.1)
     assert found.rate_wait_s(later) == 0
+
+
+def test_late_request_leaves_a_region_that_states_limits(candidates):
+    # Guards against late requests that wait, and delay others, in a region
+    # whose backend servers are in need, while another region is sooner.
+    for node in 'ab':
+        limited = load(rate_limit=5.0, rate_credit=-4.0)
+        candidates.load_reported(NodeId(node), limited, NOW)
+    candidates.load_reported(NodeId('far'), load(slowdown=8.0), NOW)
+    assert choose(candidates, target_latency_left_s=0.01) == 'far'
+
+
+def test_late_request_stays_if_its_region_is_only_busy(candidates):
+    # Guards against traffic between regions that is paid for and serves late
+    # requests no better.
+    for node in 'ab':
+        candidates.load_reported(NodeId(node), load(slowdown=9.0), NOW)
+    candidates.load_reported(NodeId('far'), load(slowdown=6.0), NOW)
+    assert choose(candidates, target_latency_left_s=0.01) != 'far'
