Stop using a backend server that states its departure in an answer

A backend server that said in its answers that it leaves got requests until its announcement arrived, or until its end if it sends none.

Cause: the same as for the stated limit; what answers state was not read.

A notice of departure now counts like the announced departure: the target refuses new requests as not run, the other nodes are told before the answer is passed on, and the departure is stored so that a restart of the node does not forget it.

--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -222,6 +222,8 @@
             return
         self.backend.notice = notice
         self.backend.stated_rate.state(notice.rate_limit, self._now())
+        if notice.is_leaving:
+            self.backend.instance_left(run.instance)
         self.on_notice(notice, run, source)
 
     def process_queue(self) -> None:
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -7,9 +7,10 @@
 
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.ingress import Ingress
+from bilberryrail.forwarding.load_report import Notice, NoticeSource
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.operators import OperatorState
-from bilberryrail.forwarding.records import ClientLimits
+from bilberryrail.forwarding.records import BackendRun, ClientLimits
 from bilberryrail.forwarding.routes import SplitChooser
 from bilberryrail.forwarding.selection import CandidateTable
 from bilberryrail.forwarding.target import Target
@@ -170,11 +171,11 @@
         self.pool.target = self.target
         self.ports.target = self.target
         self.ports.ingress = self.ingress
-        decisions = DecisionLog(self.reactor, self.log, self.metrics)
-        self.target.on_decision = decisions.target_decided
-        self.target.on_notice = decisions.notice_changed
-        self.ingress.on_decision = decisions.ingress_decided
-        self.ingress.on_finished = decisions.request_finished
+        self.decisions = DecisionLog(self.reactor, self.log, self.metrics)
+        self.target.on_decision = self.decisions.target_decided
+        self.target.on_notice = self._notice_changed
+        self.ingress.on_decision = self.decisions.ingress_decided
+        self.ingress.on_finished = self.decisions.request_finished
 
     def _build_links(self, settings: GatewaySettings) -> None:
         self.traffic = Traffic(
@@ -282,6 +283,17 @@
             # instance can be identified now instead of with the next heartbeat.
             self.health.check_now()
 
+    def _notice_changed(
+        self, notice: Notice, run: BackendRun, source: NoticeSource
+    ) -> None:
+        """Log what the backend server states; announce that it leaves.
+
+        The announcement is sent before the answer that stated the departure.
+        """
+        self.decisions.notice_changed(notice, run, source)
+        if notice.is_leaving:
+            self.backend_changed()
+
     def _update_rules(self) -> None:
         config = self.operators.config
         if config is not None:
--- a/packages/gateway/bilberryrail/gateway/process_test.py
+++ b/packages/gateway/bilberryrail/gateway/process_test.py
@@ -5,12 +5,15 @@
 import pytest
 
 from bilberryrail.core.ids import NodeId, Seconds
+from bilberryrail.forwarding.backend_test import heartbeat
 from bilberryrail.forwarding.fixtures_test import (
     BOARD,
     RULES,
     SETTINGS,
     forward,
 )
+from bilberryrail.forwarding.load_report import Notice, NoticeSource
+from bilberryrail.forwarding.records import BackendPhase
 from bilberryrail.forwarding.work_queue import Origin, Work
 from bilberryrail.gateway.backend_pool_test import FakeDialect, FakeReactor
 from bilberryrail.gateway.http_server_test import ignore
@@ -48,3 +51,17 @@
     work = Work(1, origin, message, Seconds(0), Seconds(1))
     process.target.paused.add(work)
     assert process.health.is_running
+
+
+def test_departure_stated_in_an_answer_is_announced_and_stored(process):
+    # Guards against a departure that only the node beside the backend server
+    # knows, and that its restart forgets (issue 23).
+    stored = []
+    process.presence.store_announcement = lambda: stored.append('stored')
+    process.backend.heartbeat_received(heartbeat(), Seconds(1))
+    process.backend_changed()
+    process.target.notice_received(
+        Notice(is_leaving=True), process.backend.run, NoticeSource.ANSWER
+    )
+    assert process.membership.own.phase is BackendPhase.DRAINING
+    assert stored == ['stored']
