Tell a restarted node what its backend server has stated

A node that restarts beside a backend server in need starts without its limit until an answer names it again, while the nodes that send requests to it know the limit. The same holds for a stated departure while the store is away.

Cause: what a run of a backend server states was state of one process. It has to last as long as the run.

Ingress nodes now remember, for each node, the limit from its load reports and the departure from its announcements, and put them into the Hello of each link to it, in front of all requests. The restarted node applies them when it identifies the run, and until the run states something itself. A node that has read no answer yet reports no limit, so that its first load report does not erase the memory of the others. The first heartbeat after a restart completes the identification of a run instead of replacing it, and a departure during the end of the node is announced apart from that end.

Old nodes ignore the new last field of Hello and the new fields of records.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -10,7 +10,6 @@
     HealthResult,
     Heartbeat,
     LoadReport,
-    Notice,
 )
 from bilberryrail.forwarding.records import (
     BackendLoad,
@@ -20,13 +19,13 @@
     RouteId,
     ServiceRules,
 )
+from bilberryrail.forwarding.run_statements import KnownRun, RunStatements
 from bilberryrail.forwarding.service_time import (
     ErrorShare,
     ServiceTimeEstimator,
     Start,
 )
 from bilberryrail.forwarding.settings import AdmissionSettings
-from bilberryrail.forwarding.stated_rate import StatedRate
 
 #: Multiple of its expected duration after which a running request shows that
 #: the backend server is slow.
@@ -43,9 +42,6 @@
 #: seconds.
 _TRIAL_INTERVAL_S: Final = 0.25
 
-#: Largest number of departed instances that are remembered.
-_MAX_DEPARTED: Final = 64
-
 
 @dataclass(frozen=True, slots=True)
 class RunningRequest:
@@ -67,19 +63,13 @@
 
     Attributes
     ----------
-    departed
-        Instances that have announced their departure, with the start time (Unix
-        time in milliseconds) of the run that did so; zero if it is not known.
-        They get no new requests.
+    statements
+        What its runs have stated about themselves. Those that have left get no
+        new requests.
     down
         Whether it refuses connections.
     running
         Requests that are in flight, by number, oldest first.
-    notice
-        What its present run has stated last in an answer; None if this process
-        has read no answer of it.
-    stated_rate
-        Keeps the requests within the limit that the present run has stated.
     """
 
     def __init__(self, settings: AdmissionSettings) -> None:
@@ -90,15 +80,13 @@
         self.slots = 0
         self.born_ms = 0
         self.sequence = -1
-        self.departed: dict[InstanceId, int] = {}
+        self.statements = RunStatements()
         self.down = False
         self.cold = ColdLimiter()
         self.service_time = ServiceTimeEstimator()
         self.errors = ErrorShare()
         self.rules: ServiceRules | None = None
         self.running: dict[int, RunningRequest] = {}
-        self.notice: Notice | None = None
-        self.stated_rate = StatedRate()
         self._untracked_running = 0
         self._failed_checks = 0
         self._warm_at = Seconds(-math.inf)
@@ -113,19 +101,20 @@
         """
         if heartbeat.born_ms < self.born_ms:
             return False
-        is_same = heartbeat.instance == self.instance
-        is_restart = heartbeat.born_ms > self.born_ms
-        if is_same and not is_restart and heartbeat.sequence <= self.sequence:
+        run = BackendRun(heartbeat.instance, heartbeat.born_ms)
+        is_same = self.run is not None and run.is_same_as(self.run)
+        if is_same and heartbeat.sequence <= self.sequence:
             return False
-        if not is_same or is_restart:
-            self._instance_replaced(heartbeat.instance, heartbeat.born_ms)
+        if not is_same:
+            self._run_started(run, now)
+        self.born_ms = heartbeat.born_ms
         self.sequence = heartbeat.sequence
         self.service = heartbeat.service
         self.slots = heartbeat.slots or self.slots
         self.phase = heartbeat.phase
         if heartbeat.phase is BackendPhase.DRAINING:
             self.instance_left(heartbeat.instance)
-        elif self._has_departed(heartbeat.instance):
+        elif self.statements.has_left(run):
             self.phase = BackendPhase.DRAINING
         if heartbeat.cold_s > 0:
             self.cold.turned_cold(heartbeat.cold_s, now)
@@ -142,18 +131,23 @@
         """
         if instance == self.instance:
             born_ms = self.born_ms
-        self.departed[instance] = max(born_ms, self.departed.get(instance, 0))
-        while len(self.departed) > _MAX_DEPARTED:
-            self.departed.pop(next(iter(self.departed)))
+        self.statements.left(BackendRun(instance, born_ms))
         if instance == self.instance:
             self.phase = BackendPhase.DRAINING
 
+    def recall(self, known: KnownRun, now: Seconds) -> None:
+        """Apply what another node knows that a run has stated."""
+        self.statements.recall(known, now)
+        if self.run is not None and self.statements.has_left(self.run):
+            self.phase = BackendPhase.DRAINING
+
     def health_checked(self, health: HealthResult, now: Seconds) -> None:
         """Apply the result of a health check."""
         if health.instance and health.instance != self.instance:
             # The first heartbeat of the instance has not arrived yet.
-            self._instance_replaced(health.instance, self.born_ms)
-            if health.is_healthy and not self._has_departed(health.instance):
+            run = BackendRun(health.instance, self.born_ms)
+            self._run_started(run, now)
+            if health.is_healthy and not self.statements.has_left(run):
                 self.phase = BackendPhase.READY
         if health.load is not None:
             self.load_reported(health.load, now)
@@ -186,7 +180,7 @@
             route, now, self.service_time.run_started(route, now)
         )
         self.cold.request_sent(now)
-        self.stated_rate.request_sent(now)
+        self.statements.rate.request_sent(now)
         self._sent_at = now
 
     def request_ended(self, number: int) -> None:
@@ -275,8 +269,8 @@
                 self.service_time.reported_slowdown.remaining_slow_s(now), 3
             ),
             calm_slowdown=round(self.service_time.residual_slowdown(now), 2),
-            rate_limit=self.stated_rate.per_s if self.notice else None,
-            rate_credit=round(self.stated_rate.credit(waiting, now), 2),
+            rate_limit=self.statements.known_rate_limit,
+            rate_credit=round(self.statements.rate.credit(waiting, now), 2),
         )
 
     def _cold_reported(self, cold_s: float, now: Seconds) -> None:
@@ -286,25 +280,17 @@
             self.cold.turned_warm()
             self._warm_at = now
 
-    def _instance_replaced(self, instance: InstanceId, born_ms: int) -> None:
-        self.instance = instance
-        self.born_ms = born_ms
+    def _run_started(self, run: BackendRun, now: Seconds) -> None:
+        self.instance = run.instance
+        self.born_ms = run.born_ms
         self.sequence = -1
         self.phase = BackendPhase.ABSENT
         self._warm_at = Seconds(-math.inf)
         self._failed_checks = 0
-        self.notice = None
-        self.stated_rate = StatedRate()
+        self.statements.run_started(run, now)
         self.service_time.restart()
         self.errors = ErrorShare()
 
-    def _has_departed(self, instance: InstanceId) -> bool:
-        """Return whether this run of an instance announced its departure."""
-        left_ms = self.departed.get(instance)
-        if left_ms is None:
-            return False
-        return self.born_ms <= left_ms or not left_ms
-
     def _stall_slowdown(self, now: Seconds) -> float:
         """Return the slowdown shown by the oldest request in flight.
 
--- a/packages/forwarding/bilberryrail/forwarding/backend_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend_test.py
@@ -9,6 +9,7 @@
     HealthResult,
     Heartbeat,
     LoadReport,
+    Notice,
 )
 from bilberryrail.forwarding.records import BackendPhase, InstanceId, RouteId
 from bilberryrail.forwarding.settings import AdmissionSettings
@@ -154,3 +155,16 @@
 def test_share_of_slots_is_kept_free(backend):
     # Guards against using all slots, at which point every request slows down.
     assert backend.limit() == 8
+
+
+def test_first_heartbeat_completes_the_identification(backend):
+    # Guards against a restarted node that forgets with the first heartbeat what
+    # a health check or another node has told about the same run.
+    fresh = Backend(AdmissionSettings())
+    fresh.rules = RULES
+    healthy = HealthResult(is_healthy=True, instance=InstanceId('i1'))
+    fresh.health_checked(healthy, NOW)
+    fresh.statements.noticed(Notice(rate_limit=7.5), NOW)
+    fresh.heartbeat_received(heartbeat(born=100), NOW)
+    assert fresh.run == backend.run
+    assert fresh.statements.known_rate_limit == 7.5
--- a/packages/forwarding/bilberryrail/forwarding/fleet_harness_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/fleet_harness_test.py
@@ -2,6 +2,7 @@
 
 import itertools
 from collections import Counter
+from dataclasses import replace
 from functools import partial
 from http import HTTPStatus
 from random import Random
@@ -56,6 +57,7 @@
         self.instance = InstanceId(f'i-{name}')
         self.slots = slots
         self.work_s = work_s
+        self.born_ms = 100
         self.notice = Notice()
         self.arrivals = []
 
@@ -67,10 +69,12 @@
         self.fleet = fleet
         self.name = name
         self.server = server
+        self.started_ms = int(fleet.clock.seconds() * 1000)
         self.is_running = True
         self.backend = Backend(SETTINGS.admission)
         self.backend.rules = RULES
         self.target = Target(SETTINGS, fleet.clock, self.backend, self)
+        self.target.on_notice = lambda *_: fleet.announce(self)
         self.target.backend.heartbeat_received(
             Heartbeat(
                 instance=server.instance,
@@ -78,7 +82,7 @@
                 address='10.0.0.1:80',
                 phase=BackendPhase.READY,
                 slots=server.slots,
-                born_ms=100,
+                born_ms=server.born_ms,
                 sequence=1,
             ),
             fleet.now(),
@@ -144,6 +148,40 @@
     def server(self, name):
         return self.targets[name].server
 
+    def announce(self, node):
+        """Announce a target node to all ingress nodes."""
+        announced = replace(
+            peer(
+                node.name, started_ms=node.started_ms, phase=node.backend.phase
+            ),
+            born_ms=node.server.born_ms,
+        )
+        for ingress in self.ingresses.values():
+            known = ingress.candidates.by_node
+            others = [
+                one.peer for key, one in known.items() if key != node.name
+            ]
+            ingress.candidates.runs.announced(announced)
+            ingress.candidates.update([*others, announced])
+
+    def stop(self, name):
+        """End the process of a target node; its backend server goes on."""
+        self.targets[name].is_running = False
+        for ingress in self.ingresses.values():
+            ingress.candidates.mark_unreachable(name)
+            ingress.link_lost(name)
+
+    def start(self, name):
+        """Start a process beside the same backend server, and link it."""
+        node = TargetNode(self, name, self.server(name))
+        self.targets[name] = node
+        self.announce(node)
+        for ingress in self.ingresses.values():
+            known = ingress.candidates.runs.by_node.get(name)
+            if known is not None:
+                node.backend.recall(known, self.now())
+            ingress.candidates.mark_reachable(name)
+
     def make_ingress(self, name):
         candidates = CandidateTable(SETTINGS, self.random)
         candidates.update([peer(target) for target in self.targets])
@@ -213,6 +251,8 @@
 
     def deliver(self, node, message):
         target = self.fleet.targets[node].target
+        if not self.fleet.targets[node].is_running:
+            return
         match message:
             case messages.Forward():
                 target.offer(self.name, message)
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -18,6 +18,7 @@
     RouteId,
     TrafficConfig,
 )
+from bilberryrail.forwarding.run_statements import KnownRun
 
 
 class Hello(msgspec.Struct, array_like=True, tag=0):
@@ -30,11 +31,15 @@
         address.
     accepts_compression
         Whether the sender can decode compressed messages.
+    known
+        What the sender knows that the backend server of the expected node has
+        stated; None if it has stated nothing that matters.
     """
 
     peer: Peer
     expected: NodeId
     accepts_compression: bool = False
+    known: KnownRun | None = None
 
 
 class Announce(msgspec.Struct, array_like=True, tag=1):
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -120,6 +120,13 @@
     instance: InstanceId
     born_ms: int = 0
 
+    def is_same_as(self, other: 'BackendRun') -> bool:
+        """Return whether both are the same run, as far as is known."""
+        if self.instance != other.instance:
+            return False
+        is_known = self.born_ms and other.born_ms
+        return not is_known or self.born_ms == other.born_ms
+
 
 class BackendPhase(Enum):
     """State of a backend server, as the node beside it knows it."""
@@ -146,6 +153,8 @@
     born_ms
         Unix time of the backend server's start, in milliseconds; zero if it is
         not known.
+    departed
+        Whether the backend server has announced or stated that it leaves.
     """
 
     node: NodeId
@@ -161,6 +170,18 @@
     phase: BackendPhase
     leaving: bool = False
     born_ms: int = 0
+    departed: bool = False
+
+    @property
+    def run(self) -> BackendRun:
+        """Run of the backend server beside the node."""
+        return BackendRun(self.instance, self.born_ms)
+
+    @property
+    def backend_departed(self) -> bool:
+        """Whether the backend server has left, also before the node ends."""
+        is_draining = self.phase is BackendPhase.DRAINING and not self.leaving
+        return self.departed or is_draining
 
     def is_newer_than(self, other: 'Peer') -> bool:
         """Return whether this announcement replaces another one of the node."""
--- a/packages/forwarding/bilberryrail/forwarding/selection.py
+++ b/packages/forwarding/bilberryrail/forwarding/selection.py
@@ -21,6 +21,7 @@
     Peer,
     RouteId,
 )
+from bilberryrail.forwarding.run_memory import RunMemory
 from bilberryrail.forwarding.settings import ForwardingSettings
 
 #: Width of the random factor on scores. Without it, nodes with the same load
@@ -97,12 +98,15 @@
         Expected times to an answer.
     distances
         Round-trip times to the targets.
+    runs
+        What the targets' backend servers have stated.
     """
 
     def __init__(self, settings: ForwardingSettings, random: Random) -> None:
         self.settings = settings
         self.random = random
         self.by_node: dict[NodeId, Candidate] = {}
+        self.runs = RunMemory()
         self.by_service: dict[ServiceId, list[Candidate]] = {}
         self.zones_out: frozenset[AvailabilityZoneId] = frozenset()
         self.distances = Distances(
@@ -135,6 +139,7 @@
         if candidate is None:
             return
         candidate.load_reported(load, now)
+        self.runs.limit_reported(candidate.peer, load.rate_limit)
         self.estimates.service_time_reported(
             candidate.peer.service, load.service_s
         )
--- a/packages/forwarding/bilberryrail/forwarding/stated_limit_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/stated_limit_test.py
@@ -59,3 +59,49 @@
     assert fleet.statuses[503] >= 20 * 8
     assert fleet.statuses[504] == 0
     assert max(fleet.refused_after_s) <= 4 / 4 + 0.1
+
+
+def test_restarted_node_keeps_the_stated_limit():
+    # Guards against a node that forgets in a restart what its backend server
+    # has stated, while answers that state it again take a second (issue 23).
+    fleet = Fleet(['n1', 'n2'], ['a', 'b'], work_s=1.0)
+    server = fleet.server('a')
+    server.notice = Notice(rate_limit=2)
+    fleet.run(8, per_s=10)
+    fleet.stop('a')
+    fleet.run(0.5, per_s=10)
+    fleet.start('a')
+    stopped_at = fleet.now()
+    fleet.run(6, per_s=10)
+    assert arrivals(server, stopped_at - WINDOW_S) <= allowed(2)
+
+
+def test_restarted_node_does_not_use_a_run_that_has_left():
+    # Guards against a restart that makes a backend server which has left ready
+    # again, because a delayed heartbeat says so.
+    fleet = Fleet(['n1', 'n2'], ['a', 'b'])
+    fleet.run(1, per_s=10)
+    server = fleet.server('a')
+    server.notice = Notice(is_leaving=True)
+    fleet.run(1, per_s=10)
+    known_at = fleet.now()
+    fleet.stop('a')
+    fleet.run(0.5, per_s=10)
+    fleet.start('a')
+    fleet.run(3, per_s=10)
+    assert max(at for at, _ in server.arrivals) <= known_at
+
+
+def test_new_run_is_used_although_the_one_before_has_left():
+    # Guards against a memory of departures that keeps a replacement out.
+    fleet = Fleet(['n1'], ['a', 'b'])
+    server = fleet.server('a')
+    server.notice = Notice(is_leaving=True)
+    fleet.run(1, per_s=20)
+    fleet.stop('a')
+    server.notice = Notice()
+    server.born_ms += 5000
+    fleet.start('a')
+    started_at = fleet.now()
+    fleet.run(2, per_s=20)
+    assert max(at for at, _ in server.arrivals) > started_at
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -218,10 +218,11 @@
 
         A late answer of an earlier run is ignored.
         """
-        if run != self.backend.run or notice == self.backend.notice:
+        present = self.backend.run
+        is_present = present is not None and run.is_same_as(present)
+        if not is_present or notice == self.backend.statements.notice:
             return
-        self.backend.notice = notice
-        self.backend.stated_rate.state(notice.rate_limit, self._now())
+        self.backend.statements.noticed(notice, self._now())
         if notice.is_leaving:
             self.backend.instance_left(run.instance)
         self.on_notice(notice, run, source)
--- a/packages/forwarding/bilberryrail/forwarding/target_capacity.py
+++ b/packages/forwarding/bilberryrail/forwarding/target_capacity.py
@@ -38,7 +38,7 @@
         backend = self.backend
         if backend.occupancy(now) >= backend.limit():
             return False
-        if backend.stated_rate.wait_s(0, now):
+        if backend.statements.rate.wait_s(0, now):
             return False
         max_per_s = backend.cold_limit(now)
         return math.isinf(max_per_s) or backend.cold.has_capacity(
@@ -52,7 +52,7 @@
         busy = ahead + backend.occupancy(now) + 1 - limit
         wait_s = max(
             max(0, busy) / limit * backend.expected_s(now),
-            backend.stated_rate.wait_s(ahead, now),
+            backend.statements.rate.wait_s(ahead, now),
         )
         max_per_s = backend.cold_limit(now)
         if not math.isinf(max_per_s):
--- a/packages/forwarding/bilberryrail/forwarding/target_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/target_test.py
@@ -429,7 +429,7 @@
     # Guards against a limit that a restarted backend server never stated.
     earlier = BackendRun(bench.backend.instance, born_ms=50)
     bench.target.notice_received(Notice(7.5), earlier, NoticeSource.ANSWER)
-    assert bench.backend.notice is None
+    assert bench.backend.statements.notice is None
 
 
 def test_notice_ends_with_the_run(bench):
@@ -440,4 +440,4 @@
         HealthResult(is_healthy=True, instance=InstanceId('i2')),
         Seconds(bench.clock.seconds()),
     )
-    assert bench.backend.notice is None
+    assert bench.backend.statements.notice is None
--- a/packages/gateway/bilberryrail/gateway/health_checker_test.py
+++ b/packages/gateway/bilberryrail/gateway/health_checker_test.py
@@ -117,14 +117,14 @@
     bench.checker.start()
     headers = [('instance', 'i1'), ('limit', 7.5)]
     FakeChannel.waiting[0].callback(RawAnswer(status=200, headers=headers))
-    assert bench.backend.notice == Notice(7.5)
+    assert bench.backend.statements.notice == Notice(7.5)
 
 
 def test_health_check_without_a_limit_lifts_none(bench):
     # Guards against a limit that is forgotten because a backend server states
     # it only in answers to requests.
-    bench.backend.notice = Notice(7.5)
+    bench.backend.statements.notice = Notice(7.5)
     bench.checker.start()
     headers = [('instance', 'i1')]
     FakeChannel.waiting[0].callback(RawAnswer(status=200, headers=headers))
-    assert bench.backend.notice == Notice(7.5)
+    assert bench.backend.statements.notice == Notice(7.5)
--- a/packages/gateway/bilberryrail/gateway/message_router.py
+++ b/packages/gateway/bilberryrail/gateway/message_router.py
@@ -11,6 +11,7 @@
     Peer,
     Refusal,
 )
+from bilberryrail.forwarding.run_statements import KnownRun
 from bilberryrail.forwarding.target import Reply, Target
 from bilberryrail.forwarding.work_queue import Work
 from bilberryrail.gateway.backend_pool import BackendPool
@@ -101,7 +102,12 @@
     def make_hello(self, expected: NodeId) -> messages.Hello:
         """Build the Hello message, the first one of a link."""
         own = self.presence.membership.own
-        return messages.Hello(own, expected, accepts_compression=True)
+        return messages.Hello(
+            own,
+            expected,
+            accepts_compression=True,
+            known=self.presence.candidates.runs.by_node.get(expected),
+        )
 
     def received(self, link: Link, message: messages.Message) -> None:
         """Pass a message of another node to the part that it concerns."""
@@ -119,8 +125,9 @@
                 link.send(messages.Pong(self.ports.target.load()))
             case messages.Announce(peer=peer):
                 self.presence.announcement_received(link.peer, peer)
-            case messages.Hello(peer=peer):
+            case messages.Hello(peer=peer, known=known):
                 self.presence.merge_announcements([peer])
+                self._recall(known)
             case messages.Nodes(peers=peers):
                 self.presence.merge_announcements(peers)
             case messages.Progress():
@@ -177,3 +184,14 @@
                 None,
             )
             self.ports.ingress.refused(node, refusal)
+
+    def _recall(self, known: KnownRun | None) -> None:
+        """Apply what a peer knows that this node's backend server has stated.
+
+        This node may have restarted since.
+        """
+        if known is not None:
+            now = Seconds(self.clock.seconds())
+            self.ports.target.backend.recall(known, now)
+            self.presence.refresh()
+            self.ports.target.process_queue()
--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Any, Final
 
@@ -12,7 +13,6 @@
     NodeId,
     RegionId,
     Seconds,
-    ServiceId,
 )
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.backend import Backend
@@ -94,10 +94,20 @@
             phase = BackendPhase.DRAINING
         service = self.backend.service or own.service
         instance = self.backend.instance or InstanceId('')
-        before = (own.service, own.instance, own.phase, own.leaving)
-        if before == (service, instance, phase, self.is_leaving):
+        departed = self.backend.phase is BackendPhase.DRAINING
+        announced = replace(
+            own,
+            serial=own.serial + 1,
+            service=service,
+            instance=instance,
+            phase=phase,
+            leaving=self.is_leaving,
+            born_ms=self.backend.born_ms,
+            departed=departed,
+        )
+        if _is_same_state(own, announced):
             return None
-        self._announce(service, instance, phase)
+        self._announce(announced)
         self.log(
             'backend',
             instance=instance,
@@ -128,6 +138,8 @@
     def merge_announcements(self, peers: list[Peer]) -> list[Peer]:
         """Merge announcements of nodes; return those that changed something."""
         changed = self.membership.merge(peers)
+        for announced in changed:
+            self.candidates.runs.announced(announced)
         for peer in peers:
             if peer.node == self.membership.own.node:
                 self._restore_departure(peer)
@@ -147,6 +159,7 @@
     def forget(self, node: NodeId) -> None:
         """Remove a node whose address belongs to another node now."""
         self.log('peer_replaced', peer=node)
+        self.candidates.runs.forget(node)
         self.membership.forget(node)
         self.apply_membership()
 
@@ -161,30 +174,8 @@
             if not self.links.is_up(node):
                 self.candidates.avoid(node, now)
 
-    def _announce(
-        self,
-        service: ServiceId,
-        instance: InstanceId,
-        phase: BackendPhase,
-    ) -> None:
-        own = self.membership.own
-        self.membership.announce(
-            Peer(
-                node=own.node,
-                incarnation=own.incarnation,
-                started_ms=own.started_ms,
-                serial=own.serial + 1,
-                host=own.host,
-                port=own.port,
-                zone=own.zone,
-                region=own.region,
-                service=service,
-                instance=instance,
-                phase=phase,
-                leaving=self.is_leaving,
-                born_ms=self.backend.born_ms,
-            ),
-        )
+    def _announce(self, announced: Peer) -> None:
+        self.membership.announce(announced)
         self._publish(messages.Announce(self.membership.own))
         self.apply_membership()
 
@@ -214,7 +205,12 @@
         """
         own = self.membership.own
         is_earlier = earlier.incarnation != own.incarnation
-        is_draining = earlier.phase is BackendPhase.DRAINING
-        if is_earlier and is_draining and not earlier.leaving:
+        if is_earlier and earlier.backend_departed:
             self.backend.instance_left(earlier.instance, earlier.born_ms)
             self.refresh()
+
+
+def _is_same_state(own: Peer, announced: Peer) -> bool:
+    """Return whether other nodes need not learn of an announcement."""
+    same_run = replace(announced, serial=own.serial, born_ms=own.born_ms)
+    return same_run == own
--- a/packages/gateway/bilberryrail/gateway/presence_test.py
+++ b/packages/gateway/bilberryrail/gateway/presence_test.py
@@ -163,3 +163,15 @@
     # Guards against a field that is lost by encoding.
     sent = messages.Announce(peer('n1', leaving=True))
     assert messages.decode(messages.encode(sent)) == sent
+
+
+def test_departure_during_the_end_of_the_node_is_announced(bench):
+    # Guards against a backend server that leaves while its node is shutting
+    # down, and is used again by the restarted node.
+    bench.backend.heartbeat_received(heartbeat(), Seconds(1))
+    bench.presence.is_leaving = True
+    bench.presence.refresh()
+    assert not bench.membership.own.departed
+    bench.backend.instance_left('i1')
+    bench.presence.refresh()
+    assert bench.membership.own.departed
