Read the stored departure before the restarted node replaces it

A node that restarted announced itself before it read the announcements, and its own record held the only stored departure of its backend server. The record was replaced before it was read, so the stored departure was never restored, and a delayed heartbeat made the server ready again.

The test of the calls at the start names one read more, which is the fix; it compares the whole sequence as before.

The announcements are now read before and after the own one is written, which costs one call of the store for each start.

--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -134,24 +134,30 @@
             self.on_operators()
 
     async def _follow_members(self) -> None:
-        # Announce before reading, so that of two nodes that start at the same
-        # time at least one sees the other.
+        # The announcement replaces the record of this node's earlier process,
+        # which may say that its backend server has left.
+        await self._read_members()
+        # Read again after the announcement, so that of two nodes that start at
+        # the same time at least one sees the other.
         await self._announce()
-        is_known = False
+        await self._read_members()
+        while not self.is_stopped:
+            await self._pause(MEMBERS_INTERVAL_S)
+            if self.must_read():
+                await self._read_members()
+
+    async def _read_members(self) -> None:
+        """Read all announcements, with retries."""
         while not self.is_stopped:
-            if is_known and not self.must_read():
-                await self._pause(MEMBERS_INTERVAL_S)
-                continue
             try:
                 peers = await self.store.announcements()
             except StoreError as error:
                 self._failed('announcements', error)
                 await self._pause(ANNOUNCE_RETRY_S)
-                continue
-            self._answered('announcements')
-            self.on_peers(list(peers))
-            is_known = True
-            await self._pause(MEMBERS_INTERVAL_S)
+            else:
+                self._answered('announcements')
+                self.on_peers(list(peers))
+                return
 
     def _answered(self, kind: str) -> None:
         self.metrics.called_store(kind, 'answered')
--- a/packages/gateway/bilberryrail/gateway/follower_test.py
+++ b/packages/gateway/bilberryrail/gateway/follower_test.py
@@ -12,6 +12,7 @@
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.messages import OperatorSnapshot
 from bilberryrail.forwarding.operators import OperatorState, ZoneRecord
+from bilberryrail.forwarding.records import BackendPhase
 from bilberryrail.gateway.follower import MEMBERS_INTERVAL_S, StoreFollower
 from bilberryrail.gateway.store import OperatorRecords
 
@@ -22,6 +23,7 @@
     def __init__(self):
         self.calls = []
         self.waiting = None
+        self.members = {'n2': peer('n2')}
 
     async def operator_state(self):
         self.calls.append('state')
@@ -34,11 +36,12 @@
 
     async def announce(self, own):
         self.calls.append('announce')
+        self.members[own.node] = own
         await succeed(None)
 
     async def announcements(self):
         self.calls.append('announcements')
-        return [peer('n2')]
+        return list(self.members.values())
 
 
 def _ignore(event, **fields):
@@ -73,10 +76,11 @@
     return Bench()
 
 
-def test_every_node_reads_once_at_its_start(bench):
+def test_every_node_reads_at_its_start(bench):
     # Guards against a node that waits for readers which have not started yet.
     bench.follower.start()
-    assert bench.store.calls == ['state', 'announce', 'announcements']
+    reads = ['state', 'announcements']
+    assert bench.store.calls == [*reads, 'announce', 'announcements']
 
 
 def test_node_that_need_not_read_makes_no_calls(bench):
@@ -97,3 +101,14 @@
     record = ZoneRecord(7, 'west', is_out=True)
     bench.store.waiting.callback(OperatorRecords([record], 8))
     assert bench.operators.zones_out == {'east', 'west'}
+
+
+def test_record_of_the_earlier_process_is_read_before_it_is_replaced(bench):
+    # Guards against a restart that replaces the stored departure of its backend
+    # server before it has read it, and uses the server again.
+    earlier = peer('n1', started_ms=500, phase=BackendPhase.DRAINING)
+    bench.store.members['n1'] = earlier
+    found = []
+    bench.follower.on_peers = found.extend
+    bench.follower.start()
+    assert earlier in found
