Let the soak's backend servers state limits and departures

Random backend servers now state a limit of up to 8 requests per second for 8 to 16 s, or state only in their answers that they leave, while the other faults go on.

--- a/packages/soak/bilberryrail/soak/checkers.py
+++ b/packages/soak/bilberryrail/soak/checkers.py
@@ -20,6 +20,14 @@
 #: out.
 MAX_EVACUATION_S: Final = 5.0
 
+#: Time in seconds after which a newly stated limit holds, and length of the
+#: windows in which it holds.
+LIMIT_WINDOW_S: Final = 4.0
+#: In any window, a backend server may get its stated rate multiplied by
+#: ``LIMIT_FACTOR``, plus ``LIMIT_SLACK``.
+LIMIT_FACTOR: Final = 1.5
+LIMIT_SLACK: Final = 5
+
 #: Minimum share of requests that must be served once all faults are over.
 MIN_SERVED_SHARE: Final = 0.95
 
@@ -42,6 +50,16 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class StatedLimit:
+    """A backend server stated a limit from ``at`` to ``until``."""
+
+    instance: str
+    per_s: float
+    at: float
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class FaultFreePeriod:
     """Time at the end of a soak, long enough after the last fault."""
@@ -79,6 +97,7 @@
     departures: list[Departure] = field(default_factory=list)
     zones_out: list[ZoneOut] = field(default_factory=list)
     cold: list[ColdPeriod] = field(default_factory=list)
+    limits: list[StatedLimit] = field(default_factory=list)
     home_zones: dict[str, frozenset[str]] = field(default_factory=dict)
     callers: dict[str, str] = field(default_factory=dict)
     cold_limit: float = 0
@@ -99,6 +118,7 @@
             _zones_out_respected,
             _home_zones_respected,
             _cold_limits_respected,
+            _stated_limits_respected,
             _recovery,
         )
         for line in check(observations)
@@ -142,7 +162,9 @@
 
 
 def _departures_respected(observations: Observations) -> Iterator[str]:
-    departed_at = {one.instance: one.at for one in observations.departures}
+    departed_at: dict[str, float] = {}
+    for departure in observations.departures:
+        departed_at.setdefault(departure.instance, departure.at)
     for run in observations.runs:
         left_at = departed_at.get(run.instance)
         if left_at is not None and run.at > left_at + MAX_DRAIN_S:
@@ -197,6 +219,30 @@
                 break
 
 
+def _stated_limits_respected(observations: Observations) -> Iterator[str]:
+    for limit in observations.limits:
+        allowed = limit.per_s * LIMIT_WINDOW_S * LIMIT_FACTOR + LIMIT_SLACK
+        holds_from = limit.at + LIMIT_WINDOW_S
+        times = [
+            run.at
+            for run in observations.runs
+            if run.instance == limit.instance
+            and holds_from <= run.at <= limit.until
+        ]
+        most = max(
+            (
+                sum(start <= at < start + LIMIT_WINDOW_S for at in times)
+                for start in times
+            ),
+            default=0,
+        )
+        if most > allowed:
+            yield (
+                f'limit: {limit.instance} got {most} requests in '
+                f'{LIMIT_WINDOW_S:.0f} s, {allowed:.0f} allowed'
+            )
+
+
 def _recovery(observations: Observations) -> Iterator[str]:
     fault_free = observations.fault_free
     if fault_free is None:
--- a/packages/soak/bilberryrail/soak/checkers_test.py
+++ b/packages/soak/bilberryrail/soak/checkers_test.py
@@ -8,6 +8,7 @@
     ColdPeriod,
     FaultFreePeriod,
     Observations,
+    StatedLimit,
     ZoneOut,
     violations,
 )
@@ -150,3 +151,21 @@
     assert violation_kinds(observe([], [], fault_free=fault_free)) == [
         'recover'
     ]
+
+
+def test_stated_limit_is_checked():
+    # Guards against a soak that does not notice requests beyond a stated limit,
+    # or that counts those before it had settled.
+    limit = StatedLimit('i1', per_s=2, at=0, until=20)
+    runs = [run(f'q{index}', at=5 + index / 10) for index in range(18)]
+    early = [run(f'e{index}', at=3) for index in range(50)]
+    assert 'limit' in violation_kinds(observe(runs, limits=[limit]))
+    kinds = violation_kinds(observe([*early, *runs[1:]], limits=[limit]))
+    assert 'limit' not in kinds
+
+
+def test_first_word_of_a_departure_counts():
+    # Guards against a departure that is told again and thereby put off.
+    told = [Departure(10.0, 'i1'), Departure(12.0, 'i1')]
+    found = observe([run(at=12.6)], [call()], departures=told)
+    assert 'drain' in violation_kinds(found)
--- a/packages/soak/bilberryrail/soak/faults.py
+++ b/packages/soak/bilberryrail/soak/faults.py
@@ -165,7 +165,7 @@
         backend = self.fleet.backends[host]
         leaving = backend.instance
         backend.leave()
-        self.reactor.callLater(DEPARTURE_S, _restart_if, backend, leaving)
+        self.reactor.callLater(DEPARTURE_S, restart_if, backend, leaving)
 
     def chill_backend(self, host: str, duration_s: float) -> None:
         """Restart a backend server so that it is cold."""
@@ -215,6 +215,7 @@
     proxy.fault = Fault.NONE
 
 
-def _restart_if(backend: Any, instance: str) -> None:
+def restart_if(backend: Any, instance: str) -> None:
+    """Restart a backend server unless another instance has replaced it."""
     if backend.instance == instance:
         backend.restart()
--- a/packages/soak/bilberryrail/soak/run.py
+++ b/packages/soak/bilberryrail/soak/run.py
@@ -14,6 +14,7 @@
 from bilberryrail.soak.checkers import FaultFreePeriod, violations
 from bilberryrail.soak.faults import FaultDriver
 from bilberryrail.soak.fleet import Fleet
+from bilberryrail.soak.statements import StatementDriver
 
 #: Time in seconds for the fleet to start before callers send requests.
 WARM_UP_S: Final = 3.0
@@ -38,12 +39,15 @@
         Time in seconds in which faults are applied.
     pause_s
         Mean pause in seconds between two faults.
+    statement_pause_s
+        Mean pause in seconds between two statements of backend servers.
     """
 
     seed: int
     nodes: int = 8
     faults_s: float = 20.0
     pause_s: float = 0.7
+    statement_pause_s: float = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +90,7 @@
         # Processes must end also when the soak is interrupted.
         reactor.addSystemEventTrigger('before', 'shutdown', self.fleet.stop)
         self.driver = FaultDriver(reactor, self.random, self.fleet)
+        self.statements = StatementDriver(reactor, settings.seed, self.fleet)
         self.started_at: float = 0
 
     def run(self) -> Any:
@@ -107,6 +112,8 @@
         await deferLater(self.reactor, WARM_UP_S)
         self.fleet.start_callers()
         ends_at = self.reactor.seconds() + self.settings.faults_s
+        stating = self.statements.run(ends_at, self.settings.statement_pause_s)
+        ensureDeferred(stating)
         while self.reactor.seconds() < ends_at:
             pause_s = self.random.expovariate(1 / self.settings.pause_s)
             await deferLater(self.reactor, pause_s)
@@ -131,7 +138,9 @@
             violations=tuple(violations(observations)),
             history=tuple(
                 (round(at - self.started_at, 2), name, host)
-                for at, name, host in self.driver.history
+                for at, name, host in sorted(
+                    self.driver.history + self.statements.history
+                )
             ),
             folder=self.folder,
         )
