--- a/packages/soak/bilberryrail/soak/statements.py
+++ b/packages/soak/bilberryrail/soak/statements.py
@@ -28,6 +28,8 @@
     ----------
     history
         Time, name and host of each statement, for the report.
+    lifted_at
+        Time at which no limit is stated any more.
     """
 
     def __init__(self, reactor: Any, seed: int, fleet: Fleet) -> None:
@@ -35,9 +37,15 @@
         self.random = Random(seed)
         self.fleet = fleet
         self.history: list[tuple[float, str, str]] = []
+        self.lifted_at: float = 0
 
     async def run(self, ends_at: float, mean_pause_s: float) -> None:
-        """Make statements until a time, with random pauses in seconds."""
+        """Make statements until a time, with random pauses in seconds.
+
+        All limits are lifted ``LIMIT_S`` after that time, because a service
+        whose backend servers state limits cannot serve all requests again.
+        """
+        self.lifted_at = ends_at + LIMIT_S
         while True:
             pause_s = self.random.expovariate(1 / mean_pause_s)
             await deferLater(self.reactor, pause_s)
@@ -55,7 +63,7 @@
             return
         backend.rate_limit = MAX_LIMIT_PER_S * self.random.random()
         now = self.reactor.seconds()
-        until = now + LIMIT_S * (1 + self.random.random())
+        until = min(self.lifted_at, now + LIMIT_S * (1 + self.random.random()))
         limit = StatedLimit(backend.instance, backend.rate_limit, now, until)
         self.fleet.observations.limits.append(limit)
         self.reactor.callLater(until - now, _lift, backend, limit)
