Keep the order of bytes in the soak's proxy, without gaps

The trace: the links to n5 were disturbed, n2 got an outcome of request 108 0.4 s late, then 113 and 114 with wrong bodies, then a message that cannot be decoded ("Expected array, got int"). The backend server had answered all three properly.

Cause: the proxy dropped bytes while a fault lasted and forwarded later bytes of the same connection, and bytes after a delay overtook delayed ones. TCP does neither. Links between availability zones carry one compressed stream, which decodes other content after a gap.

A connection that has lost bytes now stays silent until it is closed, and delayed bytes keep their order. That is harder for the nodes, which have to notice the silence. No check is changed. Three new tests of the proxy fail without the change.

--- a/packages/soak/bilberryrail/soak/proxy.py
+++ b/packages/soak/bilberryrail/soak/proxy.py
@@ -25,7 +25,20 @@
 
 
 class _ProxySide(Protocol):
-    """Either the client's connection to the proxy or the one to the server."""
+    """Either the client's connection to the proxy or the one to the server.
+
+    Received bytes are forwarded in their order and without gaps, as TCP does.
+
+    Attributes
+    ----------
+    delayed
+        Received bytes that are not forwarded yet, oldest first.
+    forwarded_at
+        Time at which the newest of them are forwarded.
+    is_silent
+        Whether received bytes have been dropped. All later ones are dropped
+        too, because the rest of the stream cannot arrive without them.
+    """
 
     def __init__(self, proxy: 'Proxy', *, is_client: bool) -> None:
         self.proxy = proxy
@@ -33,6 +46,9 @@
         self.other: _ProxySide | None = None
         self.buffered: deque[bytes] = deque()
         self.is_open = False
+        self.delayed: deque[bytes] = deque()
+        self.forwarded_at: float = 0
+        self.is_silent = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Connect to the server, or write the bytes buffered for it."""
@@ -49,15 +65,21 @@
         """Forward bytes at once, after a delay or not at all."""
         match self.proxy.fault:
             case Fault.SILENCE:
-                return
+                self.is_silent = True
             case Fault.ONE_WAY if not self.is_client:
-                return
-            case Fault.DELAY:
-                self.proxy.reactor.callLater(
-                    self.proxy.delay_s, self._forward, data
-                )
-            case _:
-                self._forward(data)
+                self.is_silent = True
+        if self.is_silent:
+            return
+        now = self.proxy.reactor.seconds()
+        is_delayed = self.proxy.fault is Fault.DELAY
+        due_at = now + self.proxy.delay_s if is_delayed else now
+        self.forwarded_at = max(due_at, self.forwarded_at)
+        if self.forwarded_at <= now and not self.delayed:
+            self._forward(data)
+        else:
+            self.delayed.append(data)
+            delay_s = max(0, self.forwarded_at - now)
+            self.proxy.reactor.callLater(delay_s, self._forward_oldest)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Close the other side too."""
@@ -79,6 +101,9 @@
         else:
             self.buffered.append(payload)
 
+    def _forward_oldest(self) -> None:
+        self._forward(self.delayed.popleft())
+
     def _forward(self, payload: bytes) -> None:
         if self.other is not None:
             self.other.write(payload)
--- a/packages/soak/bilberryrail/soak/proxy_test.py
+++ b/packages/soak/bilberryrail/soak/proxy_test.py
@@ -76,3 +76,29 @@
     connection.proxy.reset()
     assert connection.client.transport.disconnecting
     assert connection.server.transport.disconnecting
+
+
+def test_bytes_after_a_delay_do_not_overtake(connection):
+    # Guards against bytes in an order that TCP never delivers, which soaks took
+    # for answers that belong to other requests.
+    connection.proxy.fault = Fault.DELAY
+    connection.proxy.delay_s = 0.2
+    connection.client.dataReceived(b'first ')
+    connection.proxy.fault = Fault.NONE
+    connection.client.dataReceived(b'second ')
+    connection.proxy.fault = Fault.DELAY
+    connection.proxy.delay_s = 0.1
+    connection.client.dataReceived(b'third')
+    connection.reactor.advance(0.3)
+    assert connection.server.transport.value() == b'first second third'
+
+
+@pytest.mark.parametrize('fault', [Fault.SILENCE, Fault.ONE_WAY])
+def test_no_bytes_follow_dropped_ones(connection, fault):
+    # Guards against a stream with a gap, which TCP never delivers and which a
+    # compressed link decodes into other content.
+    connection.proxy.fault = fault
+    connection.server.dataReceived(b'dropped')
+    connection.proxy.fault = Fault.NONE
+    connection.server.dataReceived(b'rest')
+    assert connection.client.transport.value() == b''
