--- a/packages/forwarding/bilberryrail/forwarding/run_statements.py
+++ b/packages/forwarding/bilberryrail/forwarding/run_statements.py
@@ -2,6 +2,7 @@
 
 import math
 from dataclasses import dataclass
+from typing import Any, Final
 
 from bilberryrail.core.ids import Seconds
 from bilberryrail.forwarding.load_report import Notice
@@ -10,7 +11,7 @@
 
 #: Largest number of instances whose departure, or whose statements to an
 #: earlier process, are remembered.
-_MAX_REMEMBERED = 64
+_MAX_REMEMBERED: Final = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,7 +109,7 @@
             self.rate.state(min(known.rate_limit, self.rate.per_s), now)
 
 
-def _limit_size(remembered: dict) -> None:
+def _limit_size(remembered: dict[InstanceId, Any]) -> None:
     """Drop the oldest entries beyond the limit."""
     while len(remembered) > _MAX_REMEMBERED:
         remembered.pop(next(iter(remembered)))
