Log which era and state of the store a node reads

The logs did not tell why a node kept its configuration after the store was restored: which state it read, from which copy of the store, and how that compared with its own position.

The adapter decodes Store-Era. operator_state and operator_records give the era, the end of the topic and the position of the node; two gauges give the era and the configuration's version. No decision uses them.

--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -16,6 +16,7 @@
     Peer,
     Refusal,
     RouteId,
+    StoreEra,
     TrafficConfig,
 )
 from bilberryrail.forwarding.run_statements import KnownRun
@@ -150,11 +151,18 @@
 
 
 class OperatorSnapshot(msgspec.Struct, array_like=True, tag=11):
-    """The complete operator state up to an offset."""
+    """The complete operator state up to an offset.
+
+    Attributes
+    ----------
+    era
+        Era of the store to which the offset belongs.
+    """
 
     offset: int
     config: TrafficConfig | None
     zones_out: tuple[AvailabilityZoneId, ...]
+    era: StoreEra = StoreEra(0)
 
 
 class Nodes(msgspec.Struct, array_like=True, tag=12):
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -21,6 +21,11 @@
 #: Version of a traffic configuration; later ones have higher numbers.
 ConfigVersion = NewType('ConfigVersion', int)
 
+#: Number of times that the store was restored from an older copy. Offsets of
+#: different eras cannot be compared, because a restored store gives out the
+#: offsets of lost records again. Zero for a store that does not state it.
+StoreEra = NewType('StoreEra', int)
+
 
 @dataclass(frozen=True, slots=True)
 class Part:
--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -111,7 +111,10 @@
                     await self._read_state()
                     has_state = True
             except TrimmedError:
-                self.log('operator_records_trimmed')
+                self.log(
+                    'operator_records_trimmed',
+                    offset=self.operators.next_offset,
+                )
                 has_state = False
             except StoreError as error:
                 self._failed('operators', error)
@@ -120,6 +123,16 @@
     async def _read_state(self) -> None:
         snapshot = await self.store.operator_state()
         self._answered('operator-state')
+        self.metrics.store_read(snapshot.era)
+        config = snapshot.config
+        self.log(
+            'operator_state',
+            era=snapshot.era,
+            end=snapshot.offset,
+            offset=self.operators.next_offset,
+            version=config.version if config else None,
+            zones_out=','.join(sorted(snapshot.zones_out)),
+        )
         if self.operators.replace(snapshot):
             self.on_operators()
 
@@ -129,6 +142,15 @@
             POLL_WAIT_S,
         )
         self._answered('operator-records')
+        self.metrics.store_read(found.era)
+        if found.records:
+            self.log(
+                'operator_records',
+                era=found.era,
+                first=found.records[0].offset,
+                count=len(found.records),
+                offset=self.operators.next_offset,
+            )
         changed = [self.operators.apply(record) for record in found.records]
         if any(changed):
             self.on_operators()
--- a/packages/gateway/bilberryrail/gateway/follower_test.py
+++ b/packages/gateway/bilberryrail/gateway/follower_test.py
@@ -2,7 +2,6 @@
 
 from itertools import repeat
 from random import Random
-from types import SimpleNamespace
 
 import pytest
 from twisted.internet.defer import Deferred, succeed
@@ -14,6 +13,7 @@
 from bilberryrail.forwarding.operators import OperatorState, ZoneRecord
 from bilberryrail.forwarding.records import BackendPhase
 from bilberryrail.gateway.follower import MEMBERS_INTERVAL_S, StoreFollower
+from bilberryrail.gateway.metrics import Metrics
 from bilberryrail.gateway.store import OperatorRecords
 
 
@@ -62,7 +62,7 @@
             self.store,
             self.operators,
             Membership(peer('n1')),
-            SimpleNamespace(called_store=lambda *_: None),
+            Metrics(),
             _ignore,
         )
         self.follower.must_read = lambda: self.must_read
--- a/packages/gateway/bilberryrail/gateway/metrics.py
+++ b/packages/gateway/bilberryrail/gateway/metrics.py
@@ -9,8 +9,10 @@
 
 from bilberryrail.forwarding.load_report import Notice, NoticeSource
 from bilberryrail.forwarding.records import (
+    ConfigVersion,
     HttpAnswer,
     HttpRequest,
+    StoreEra,
 )
 from bilberryrail.gateway.http_server import Respond
 
@@ -53,12 +55,18 @@
             'backend_notices_total',
             'Changes of what the backend server states, by source.',
         )
-        self.rate_limit = Gauge(
-            'bilberryrail_backend_rate_limit',
+        self.rate_limit = self._gauge(
+            'backend_rate_limit',
             'Requests per second that the backend server accepts.',
-            registry=self.registry,
         )
         self.rate_limit.set({}, math.inf)
+        self.store_era = self._gauge(
+            'store_era',
+            'Number of times that the store was restored from a copy.',
+        )
+        self.config_version = self._gauge(
+            'config_version', 'Version of the configuration in force.'
+        )
         self.latency = Histogram(
             'bilberryrail_answer_seconds',
             'Time from a request to its answer, by service.',
@@ -84,6 +92,14 @@
         """Count a call to the store."""
         self.store_calls.inc({'kind': kind, 'result': result})
 
+    def store_read(self, era: StoreEra) -> None:
+        """Record the era of the store's latest answer."""
+        self.store_era.set({}, era)
+
+    def config_adopted(self, version: ConfigVersion) -> None:
+        """Record the version of the configuration in force."""
+        self.config_version.set({}, version)
+
     def sent(self, place: str, cause: str, size: int) -> None:
         """Count bytes sent to another node."""
         self.link_bytes.add({'place': place, 'cause': cause}, size)
@@ -97,6 +113,9 @@
     def _counter(self, name: str, text: str) -> Counter:
         return Counter(f'bilberryrail_{name}', text, registry=self.registry)
 
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f'bilberryrail_{name}', text, registry=self.registry)
+
 
 class MetricsService:
     """Serves the metrics over HTTP."""
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -268,6 +268,7 @@
         self.target.capacity.zone_out = self.settings.zone in zones_out
         self._update_rules()
         if config is not None:
+            self.metrics.config_adopted(config.version)
             self.client_server.limits = config.limits
             self.pool.max_body_bytes = config.limits.body_bytes
         self.log.process(
--- a/packages/gateway/bilberryrail/gateway/store.py
+++ b/packages/gateway/bilberryrail/gateway/store.py
@@ -6,7 +6,7 @@
 
 from bilberryrail.forwarding.messages import OperatorSnapshot
 from bilberryrail.forwarding.operators import OperatorRecord
-from bilberryrail.forwarding.records import Peer
+from bilberryrail.forwarding.records import Peer, StoreEra
 
 
 class StoreError(Exception):
@@ -14,7 +14,10 @@
 
 
 class TrimmedError(Exception):
-    """The requested records are no longer in the store."""
+    """The store does not have the requested records.
+
+    It has dropped them, or has lost them when it was restored from a copy.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,10 +28,13 @@
     ----------
     next_offset
         Offset of the next read.
+    era
+        Era of the store to which the offsets belong.
     """
 
     records: Sequence[OperatorRecord]
     next_offset: int
+    era: StoreEra = StoreEra(0)
 
 
 class Store(Protocol):
@@ -47,7 +53,8 @@
     ) -> OperatorRecords:
         """Read records from an offset on; wait up to ``wait_s`` for the first.
 
-        Raises ``TrimmedError`` if records at the offset are no longer stored.
+        Raises ``TrimmedError`` if the store does not have the record at the
+        offset.
         """
 
     async def announce(self, peer: Peer) -> None:
