Compare positions of the store only within an era

Callers got 404 on a route that had been added, or were served by the old service, for as long as the processes lived: no node adopted a version that was written after the store had come back from an older copy.

Cause: an offset stood for a position in time, across a restore that gives offsets out again. The state that was read after the return ended at a lower offset than the node had reached, so it was ignored as old; records below that offset were ignored as applied; and the read at the old offset was answered with 410, upon which the node read and ignored the state again, without a pause.

Records are applied only if the answer has the era in which the offset was read; otherwise the state is read. An answer of an earlier era is an error. A read that is answered with 410 is followed by a pause, whatever its cause. The version still decides which configuration is newer, so the lost versions stay in force until they are written again.

--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -17,6 +17,7 @@
     Refusal,
     RouteId,
     StoreEra,
+    StorePosition,
     TrafficConfig,
 )
 from bilberryrail.forwarding.run_statements import KnownRun
@@ -143,11 +144,19 @@
         Sum of the versions of all nodes' announcements that it knows.
     is_reader
         Whether it reads the store for its availability zone.
+    era
+        Era of the store to which the offset belongs.
     """
 
     offset: int
     version_sum: int
     is_reader: bool = False
+    era: StoreEra = StoreEra(0)
+
+    @property
+    def position(self) -> StorePosition:
+        """Position up to which the sender has applied records."""
+        return StorePosition(self.era, self.offset)
 
 
 class OperatorSnapshot(msgspec.Struct, array_like=True, tag=11):
@@ -164,6 +173,11 @@
     zones_out: tuple[AvailabilityZoneId, ...]
     era: StoreEra = StoreEra(0)
 
+    @property
+    def position(self) -> StorePosition:
+        """Position up to which records are included."""
+        return StorePosition(self.era, self.offset)
+
 
 class Nodes(msgspec.Struct, array_like=True, tag=12):
     """All nodes that the sender knows."""
--- a/packages/forwarding/bilberryrail/forwarding/operators.py
+++ b/packages/forwarding/bilberryrail/forwarding/operators.py
@@ -1,10 +1,10 @@
 """State set by operators: traffic configuration and zones taken out."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bilberryrail.core.ids import AvailabilityZoneId
 from bilberryrail.forwarding.messages import OperatorSnapshot
-from bilberryrail.forwarding.records import TrafficConfig
+from bilberryrail.forwarding.records import StorePosition, TrafficConfig
 from bilberryrail.forwarding.routes import RouteTable
 
 
@@ -42,8 +42,8 @@
 
     Attributes
     ----------
-    next_offset
-        Offset of the first record that has not been applied.
+    position
+        Position of the first record that has not been applied.
     config
         The newest configuration; None if there is none yet.
     table
@@ -53,16 +53,19 @@
     """
 
     def __init__(self) -> None:
-        self.next_offset = 0
+        self.position = StorePosition()
         self.config: TrafficConfig | None = None
         self.table: RouteTable | None = None
         self.zones_out: frozenset[AvailabilityZoneId] = frozenset()
 
     def apply(self, record: OperatorRecord) -> bool:
-        """Apply a record; return whether the state changed."""
-        if record.offset < self.next_offset:
+        """Apply a record of the present era; return whether the state changed.
+
+        Records before the position have been applied already.
+        """
+        if record.offset < self.position.offset:
             return False
-        self.next_offset = record.offset + 1
+        self.position = replace(self.position, offset=record.offset + 1)
         match record:
             case ConfigRecord(config=config):
                 return self._adopt(config)
@@ -74,9 +77,9 @@
 
     def replace(self, snapshot: OperatorSnapshot) -> bool:
         """Apply a later snapshot; return whether the state changed."""
-        if snapshot.offset <= self.next_offset:
+        if snapshot.position <= self.position:
             return False
-        self.next_offset = snapshot.offset
+        self.position = snapshot.position
         before = self.zones_out
         self.zones_out = frozenset(snapshot.zones_out)
         changed = self.zones_out != before
@@ -87,9 +90,10 @@
     def snapshot(self) -> OperatorSnapshot:
         """Return the complete state, for another node."""
         return OperatorSnapshot(
-            self.next_offset,
+            self.position.offset,
             self.config,
             tuple(sorted(self.zones_out)),
+            self.position.era,
         )
 
     def _adopt(self, config: TrafficConfig) -> bool:
--- a/packages/forwarding/bilberryrail/forwarding/operators_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/operators_test.py
@@ -60,4 +60,4 @@
     state = OperatorState()
     state.apply(SkippedRecord(1))
     assert state.apply(ConfigRecord(2, config(1)))
-    assert state.next_offset == 3
+    assert state.position.offset == 3
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -27,6 +27,20 @@
 StoreEra = NewType('StoreEra', int)
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class StorePosition:
+    """Position in the operators' records; later ones are greater.
+
+    Attributes
+    ----------
+    offset
+        Offset of the first record that has not been read.
+    """
+
+    era: StoreEra = StoreEra(0)
+    offset: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class Part:
     """A service that receives a share of a route's requests."""
--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -106,16 +106,18 @@
                 if has_state and not self.must_read():
                     await self._pause(READER_CHECK_INTERVAL_S)
                 elif has_state:
-                    await self._read_records()
+                    has_state = await self._read_records()
                 else:
                     await self._read_state()
                     has_state = True
             except TrimmedError:
                 self.log(
                     'operator_records_trimmed',
-                    offset=self.operators.next_offset,
+                    era=self.operators.position.era,
+                    offset=self.operators.position.offset,
                 )
                 has_state = False
+                await self._pause(RETRY_S)
             except StoreError as error:
                 self._failed('operators', error)
                 await self._pause(RETRY_S)
@@ -129,18 +131,26 @@
             'operator_state',
             era=snapshot.era,
             end=snapshot.offset,
-            offset=self.operators.next_offset,
+            offset=self.operators.position.offset,
             version=config.version if config else None,
             zones_out=','.join(sorted(snapshot.zones_out)),
         )
+        known_era = self.operators.position.era
+        if snapshot.era < known_era:
+            raise StoreError(
+                f'store is in era {snapshot.era}, but era {known_era} is known'
+            )
         if self.operators.replace(snapshot):
             self.on_operators()
 
-    async def _read_records(self) -> None:
-        found = await self.store.operator_records(
-            self.operators.next_offset,
-            POLL_WAIT_S,
-        )
+    async def _read_records(self) -> bool:
+        """Read and apply new records; return false if the state must be read.
+
+        Records are applied only if the store and this node are still in the era
+        in which the offset was read.
+        """
+        position = self.operators.position
+        found = await self.store.operator_records(position.offset, POLL_WAIT_S)
         self._answered('operator-records')
         self.metrics.store_read(found.era)
         if found.records:
@@ -149,11 +159,15 @@
                 era=found.era,
                 first=found.records[0].offset,
                 count=len(found.records),
-                offset=self.operators.next_offset,
+                offset=position.offset,
             )
+        if not found.era == position.era == self.operators.position.era:
+            self.log('store_restored', era=found.era, known_era=position.era)
+            return False
         changed = [self.operators.apply(record) for record in found.records]
         if any(changed):
             self.on_operators()
+        return True
 
     async def _follow_members(self) -> None:
         # The announcement replaces the record of this node's earlier process,
--- a/packages/gateway/bilberryrail/gateway/follower_test.py
+++ b/packages/gateway/bilberryrail/gateway/follower_test.py
@@ -11,7 +11,7 @@
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.messages import OperatorSnapshot
 from bilberryrail.forwarding.operators import OperatorState, ZoneRecord
-from bilberryrail.forwarding.records import BackendPhase
+from bilberryrail.forwarding.records import BackendPhase, StorePosition
 from bilberryrail.gateway.follower import MEMBERS_INTERVAL_S, StoreFollower
 from bilberryrail.gateway.metrics import Metrics
 from bilberryrail.gateway.store import OperatorRecords
@@ -23,11 +23,12 @@
     def __init__(self):
         self.calls = []
         self.waiting = None
+        self.era = 0
         self.members = {'n2': peer('n2')}
 
     async def operator_state(self):
         self.calls.append('state')
-        return OperatorSnapshot(4, None, ())
+        return OperatorSnapshot(4, None, (), self.era)
 
     async def operator_records(self, offset, wait_s):
         self.calls.append(('records', offset))
@@ -103,6 +104,31 @@
     assert bench.operators.zones_out == {'east', 'west'}
 
 
+def test_records_of_another_era_are_not_applied(bench):
+    # Guards against records of a restored store that are applied behind an
+    # offset of the time before, so that those in between are missed.
+    bench.must_read = True
+    bench.follower.start()
+    bench.run(1)
+    record = ZoneRecord(4, 'west', is_out=True)
+    bench.store.era = 2
+    bench.store.waiting.callback(OperatorRecords([record], 5, era=2))
+    assert not bench.operators.zones_out
+    assert bench.operators.position == StorePosition(2, 4)
+
+
+def test_state_of_an_earlier_era_is_not_adopted(bench):
+    # Guards against a delayed answer of the store from before its restore.
+    bench.follower.start()
+    bench.operators.replace(OperatorSnapshot(2, None, (), era=2))
+    bench.must_read = True
+    bench.run(1)
+    bench.store.waiting.callback(OperatorRecords([], 4))
+    bench.run(1)
+    assert bench.operators.position == StorePosition(2, 2)
+    assert not bench.follower.is_reachable
+
+
 def test_record_of_the_earlier_process_is_read_before_it_is_replaced(bench):
     # Guards against a restart that replaces the stored departure of its backend
     # server before it has read it, and uses the server again.
--- a/packages/gateway/bilberryrail/gateway/gossip.py
+++ b/packages/gateway/bilberryrail/gateway/gossip.py
@@ -116,21 +116,23 @@
         own = self._progress()
         now = self.reactor.seconds()
         if (
-            progress.offset > own.offset
+            progress.position > own.position
             or progress.version_sum > own.version_sum
         ):
             self._request_state(node, own, now)
         if (
-            progress.offset < own.offset
+            progress.position < own.position
             or progress.version_sum < own.version_sum
         ):
             self._send_state(node, progress, now)
 
     def _progress(self) -> messages.Progress:
+        position = self.operators.position
         return messages.Progress(
-            self.operators.next_offset,
+            position.offset,
             self.membership.version_sum,
             is_reader=self.is_store_up() and self.reader_selection.serves_zone,
+            era=position.era,
         )
 
     def _is_same_zone(self, node: NodeId) -> bool:
@@ -158,7 +160,7 @@
         if now - self._sent_at.get(node, 0) < MIN_EXCHANGE_INTERVAL_S:
             return
         self._sent_at[node] = now
-        if progress.offset < self.operators.next_offset:
+        if progress.position < self.operators.position:
             self.links.send_if_open(node, self.operators.snapshot())
         if progress.version_sum < self.membership.version_sum:
             self.links.send_if_open(node, messages.Nodes(self.membership.all()))
--- a/packages/gateway/bilberryrail/gateway/gossip_test.py
+++ b/packages/gateway/bilberryrail/gateway/gossip_test.py
@@ -16,7 +16,7 @@
 )
 from bilberryrail.forwarding.operators import OperatorState, ZoneRecord
 from bilberryrail.forwarding.readers import MIN_NODES_FOR_READERS
-from bilberryrail.forwarding.records import BackendLoad
+from bilberryrail.forwarding.records import BackendLoad, StorePosition
 from bilberryrail.gateway.gossip import (
     CHANGE_DELAY_S,
     PROGRESS_INTERVAL_S,
@@ -120,6 +120,18 @@
     assert bench.links.recipients(Nodes) == ['near2']
 
 
+def test_state_of_a_restored_store_counts_as_newer(bench):
+    # Guards against a node that neither requests nor accepts the state of a
+    # restored store, because the restored store gives out lower offsets.
+    bench.change(9)
+    own_sum = bench.membership.version_sum
+    bench.gossip.progress_received('near1', Progress(3, own_sum, era=2))
+    assert bench.links.recipients(Progress) == ['near1']
+    assert not bench.links.recipients(OperatorSnapshot)
+    assert bench.operators.replace(OperatorSnapshot(3, None, (), era=2))
+    assert bench.operators.position == StorePosition(2, 3)
+
+
 def test_node_without_the_store_sends_progress_to_its_whole_region(bench):
     # Guards against a zone in which no node reaches the store.
     bench.is_store_up = False
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -273,7 +273,8 @@
             self.pool.max_body_bytes = config.limits.body_bytes
         self.log.process(
             'operators',
-            offset=self.operators.next_offset,
+            era=self.operators.position.era,
+            offset=self.operators.position.offset,
             version=config.version if config else None,
             zones_out=','.join(sorted(zones_out)),
         )
