Ask the store for its era after each failed call

A node that reached the store again after a restore could wait for up to 12 s before it adopted a configuration that had been written in the meantime.

Cause: the first read after a failure waited for new records at the node's offset. If the restored store has given out the lost offsets again by then, that offset is valid, and nothing tells the node that the records before it are others.

The first read after a failed call does not wait for records.

--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -150,7 +150,10 @@
         in which the offset was read.
         """
         position = self.operators.position
-        found = await self.store.operator_records(position.offset, POLL_WAIT_S)
+        # After a failed call the store may be in another era. A read that waits
+        # for new records would not show this until the next change.
+        wait_s = POLL_WAIT_S if self.is_reachable else 0
+        found = await self.store.operator_records(position.offset, wait_s)
         self._answered('operator-records')
         self.metrics.store_read(found.era)
         if found.records:
