Keep evacuations in force that a restored store has lost

Between the restore of the store and the moment at which operators write a lost evacuation again, a node took the restored state for the newest one and sent requests to the evacuated zone.

That is right within an era, in which the store loses nothing, and wrong across a restore.

A zone that was out in the earlier era stays out as unconfirmed. It is confirmed or ended by its next record. Peers send unconfirmed zones apart from the others, so that each node can end them. A zone that is out in the restored store counts as out: it may have been taken out since, and the end of an old evacuation is written again.

The five new tests of operators_test.py failed on the code before.

--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -166,12 +166,16 @@
     ----------
     era
         Era of the store to which the offset belongs.
+    unconfirmed_zones
+        Availability zones that are out only according to an earlier era; they
+        are not in ``zones_out``.
     """
 
     offset: int
     config: TrafficConfig | None
     zones_out: tuple[AvailabilityZoneId, ...]
     era: StoreEra = StoreEra(0)
+    unconfirmed_zones: tuple[AvailabilityZoneId, ...] = ()
 
     @property
     def position(self) -> StorePosition:
--- a/packages/forwarding/bilberryrail/forwarding/operators.py
+++ b/packages/forwarding/bilberryrail/forwarding/operators.py
@@ -50,6 +50,10 @@
         Routes of the configuration.
     zones_out
         Availability zones that operators have taken out.
+    unconfirmed_zones
+        Those of them that were taken out in an earlier era of the store, and
+        whose records the store has lost. They stay out until operators have
+        written their records again, or should have.
     """
 
     def __init__(self) -> None:
@@ -57,6 +61,7 @@
         self.config: TrafficConfig | None = None
         self.table: RouteTable | None = None
         self.zones_out: frozenset[AvailabilityZoneId] = frozenset()
+        self.unconfirmed_zones: frozenset[AvailabilityZoneId] = frozenset()
 
     def apply(self, record: OperatorRecord) -> bool:
         """Apply a record of the present era; return whether the state changed.
@@ -72,30 +77,49 @@
             case ZoneRecord(zone=zone, is_out=is_out):
                 before = self.zones_out
                 self.zones_out = before | {zone} if is_out else before - {zone}
+                self.unconfirmed_zones -= {zone}
                 return self.zones_out != before
         return False
 
     def replace(self, snapshot: OperatorSnapshot) -> bool:
-        """Apply a later snapshot; return whether the state changed."""
+        """Apply a later snapshot; return whether the state or era changed."""
         if snapshot.position <= self.position:
             return False
+        changed = self._replace_zones(snapshot)
+        changed |= snapshot.era != self.position.era
         self.position = snapshot.position
-        before = self.zones_out
-        self.zones_out = frozenset(snapshot.zones_out)
-        changed = self.zones_out != before
         if snapshot.config is not None:
-            changed = self._adopt(snapshot.config) or changed
+            changed |= self._adopt(snapshot.config)
         return changed
 
+    def drop_unconfirmed_zones(self) -> bool:
+        """Bring back the unconfirmed zones; return whether there were any."""
+        dropped = self.unconfirmed_zones
+        self.zones_out -= dropped
+        self.unconfirmed_zones = frozenset()
+        return bool(dropped)
+
     def snapshot(self) -> OperatorSnapshot:
         """Return the complete state, for another node."""
         return OperatorSnapshot(
             self.position.offset,
             self.config,
-            tuple(sorted(self.zones_out)),
+            tuple(sorted(self.zones_out - self.unconfirmed_zones)),
             self.position.era,
+            tuple(sorted(self.unconfirmed_zones)),
         )
 
+    def _replace_zones(self, snapshot: OperatorSnapshot) -> bool:
+        before = (self.zones_out, self.unconfirmed_zones)
+        confirmed = frozenset(snapshot.zones_out)
+        unconfirmed = self.unconfirmed_zones.union(snapshot.unconfirmed_zones)
+        if snapshot.era != self.position.era:
+            # The store may have lost the records of these zones.
+            unconfirmed |= self.zones_out
+        self.unconfirmed_zones = unconfirmed - confirmed
+        self.zones_out = unconfirmed | confirmed
+        return before != (self.zones_out, self.unconfirmed_zones)
+
     def _adopt(self, config: TrafficConfig) -> bool:
         # The version decides, because a delayed write of an older configuration
         # must not replace a newer one.
--- a/packages/forwarding/bilberryrail/forwarding/operators_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/operators_test.py
@@ -1,6 +1,7 @@
 """Tests that operator state is applied in order and never reverted."""
 
 from bilberryrail.core.ids import AvailabilityZoneId
+from bilberryrail.forwarding.messages import OperatorSnapshot
 from bilberryrail.forwarding.operators import (
     ConfigRecord,
     OperatorState,
@@ -61,3 +62,56 @@
     state.apply(SkippedRecord(1))
     assert state.apply(ConfigRecord(2, config(1)))
     assert state.position.offset == 3
+
+
+def evacuated_before_a_restore():
+    """Return the state of a node that applied an evacuation, then lost."""
+    state = OperatorState()
+    state.apply(ConfigRecord(0, config(3)))
+    state.apply(ZoneRecord(1, EAST, is_out=True))
+    state.replace(OperatorSnapshot(1, config(3), (), era=2))
+    return state
+
+
+def test_evacuation_that_the_store_lost_stays_in_force():
+    # Guards against requests to an evacuated zone between the restore of the
+    # store and the time when the operator writes the evacuation again.
+    state = evacuated_before_a_restore()
+    assert state.zones_out == {EAST}
+    state.apply(ZoneRecord(1, EAST, is_out=True))
+    state.drop_unconfirmed_zones()
+    assert state.zones_out == {EAST}
+
+
+def test_evacuation_ends_when_it_is_not_written_again():
+    # Guards against a zone that stays out for ever because its end was written
+    # before this node read the restored store.
+    state = evacuated_before_a_restore()
+    assert state.drop_unconfirmed_zones()
+    assert not state.zones_out
+
+
+def test_lost_evacuation_ends_with_its_record():
+    # Guards against a zone that stays out after operators have taken it back.
+    state = evacuated_before_a_restore()
+    assert state.apply(ZoneRecord(1, EAST, is_out=False))
+    assert not state.zones_out
+
+
+def test_lost_evacuation_outlasts_a_second_restore_and_a_later_snapshot():
+    # Guards against a node that forgets a lost evacuation because it reads the
+    # whole state a second time.
+    state = evacuated_before_a_restore()
+    state.replace(OperatorSnapshot(2, config(4), (), era=2))
+    state.replace(OperatorSnapshot(1, config(3), (), era=3))
+    assert state.zones_out == {EAST}
+
+
+def test_node_that_learns_of_a_lost_evacuation_from_a_peer_may_end_it():
+    # Guards against a zone that stays out on nodes that were told of a lost
+    # evacuation by others.
+    behind = OperatorState()
+    assert behind.replace(evacuated_before_a_restore().snapshot())
+    assert behind.zones_out == {EAST}
+    behind.drop_unconfirmed_zones()
+    assert not behind.zones_out
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -35,6 +35,7 @@
 from bilberryrail.gateway.shutdown import Shutdown
 from bilberryrail.gateway.store import Store
 from bilberryrail.gateway.traffic import Traffic
+from bilberryrail.gateway.unconfirmed_zones import UnconfirmedZones
 
 _SEED_BITS: Final = 64
 
@@ -75,6 +76,10 @@
         self.random = Random(SystemRandom().getrandbits(_SEED_BITS))
         self.metrics = Metrics()
         self.operators = OperatorState()
+        self.unconfirmed_zones = UnconfirmedZones(
+            reactor, self.operators, log.process
+        )
+        self.unconfirmed_zones.on_dropped = self._operators_changed
         self.membership = Membership(
             initial_announcement(settings, self.random),
         )
@@ -278,6 +283,7 @@
             version=config.version if config else None,
             zones_out=','.join(sorted(zones_out)),
         )
+        self.unconfirmed_zones.operators_changed()
         self.gossip.operators_changed()
         self.target.process_queue()
         if not self.backend.instance:
--- a/packages/gateway/bilberryrail/gateway/store.py
+++ b/packages/gateway/bilberryrail/gateway/store.py
@@ -57,8 +57,8 @@
         offset.
         """
 
-    async def announce(self, peer: Peer) -> None:
-        """Write a node's announcement."""
+    async def announce(self, peer: Peer) -> StoreEra:
+        """Write a node's announcement; return the era in which it is stored."""
 
     async def announcements(self) -> Sequence[Peer]:
         """Read the newest announcement of each node."""
