Announce nodes again to a store that was restored

A node that restarts while its links are down learns only from its stored announcement that its backend server has left. If the store has lost the announcement, the node would use the server again.

Cause: an announcement that the store had acknowledged counted as stored for ever.

A node remembers the era in which it was last announced. When it learns of a later one, from the store or from a peer, it announces itself again and reads the nodes, as at its start. The nodes spread this over a time that grows with their number, 100 a second in all, so that the store's limit of 400 calls a second holds at any size.

--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -9,6 +9,7 @@
 
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.operators import OperatorState
+from bilberryrail.forwarding.records import StoreEra
 from bilberryrail.gateway.metrics import Metrics
 from bilberryrail.gateway.store import Store, StoreError, TrimmedError
 
@@ -31,6 +32,11 @@
 #: Pause before a failed announcement is retried, in seconds.
 ANNOUNCE_RETRY_S: Final = 0.5
 
+#: Announcements per second that all nodes together write again after a restore
+#: of the store, on average. The store of the smallest deployment takes 400 calls
+#: per second.
+RENEWALS_PER_S: Final = 100.0
+
 #: Width of the random factor by which each pause is multiplied, around 1.
 _JITTER: Final = 0.5
 
@@ -45,6 +51,9 @@
         gets changes from other nodes.
     is_reachable
         Whether the latest call was answered.
+    announced_era
+        Era of the store in which this node was last announced; None before
+        that.
     """
 
     def __init__(
@@ -66,6 +75,8 @@
         self.log = log
         self.is_reachable = True
         self.is_stopped = False
+        self.announced_era: StoreEra | None = None
+        self.is_renewing = False
         self.must_read: Callable[[], bool] = _always
         self.on_operators: Callable[[], None] = _ignore
         self.on_peers: Callable[[list[Any]], None] = _ignore
@@ -87,15 +98,35 @@
         """
         return ensureDeferred(self._announce())
 
+    def renew_announcement(self) -> None:
+        """Announce this node again if a restored store has lost this."""
+        if self._is_announcement_lost and not self.is_renewing:
+            self.is_renewing = True
+            self._run(self._renew_announcement())
+
+    @property
+    def _is_announcement_lost(self) -> bool:
+        era = self.announced_era
+        return era is not None and era < self.operators.position.era
+
+    async def _renew_announcement(self) -> None:
+        spread_s = len(self.membership.peers) / RENEWALS_PER_S
+        while self._is_announcement_lost and not self.is_stopped:
+            await deferLater(self.reactor, spread_s * self.random.random())
+            await self._announce()
+        self.is_renewing = False
+        await self._read_members()
+
     async def _announce(self) -> bool:
         while not self.is_stopped:
             try:
-                await self.store.announce(self.membership.own)
+                era = await self.store.announce(self.membership.own)
             except StoreError as error:
                 self._failed('announce', error)
                 await self._pause(ANNOUNCE_RETRY_S)
             else:
                 self._answered('announce')
+                self.announced_era = era
                 return True
         return False
 
--- a/packages/gateway/bilberryrail/gateway/follower_test.py
+++ b/packages/gateway/bilberryrail/gateway/follower_test.py
@@ -39,6 +39,7 @@
         self.calls.append('announce')
         self.members[own.node] = own
         await succeed(None)
+        return self.era
 
     async def announcements(self):
         self.calls.append('announcements')
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -284,6 +284,7 @@
             zones_out=','.join(sorted(zones_out)),
         )
         self.unconfirmed_zones.operators_changed()
+        self.follower.renew_announcement()
         self.gossip.operators_changed()
         self.target.process_queue()
         if not self.backend.instance:
