Exchange lost configurations between nodes by their version

A node that restarts between a restore of the store and the moment at which operators write again serves the old configuration that the store has, while all other nodes have the newer one that was confirmed.

After a restore, two nodes at the same position may have different configurations.

--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -10,6 +10,7 @@
 from bilberryrail.core.ids import AttemptId, AvailabilityZoneId, NodeId
 from bilberryrail.forwarding.records import (
     BackendLoad,
+    ConfigVersion,
     Failure,
     HttpAnswer,
     HttpRequest,
@@ -146,18 +147,37 @@
         Whether it reads the store for its availability zone.
     era
         Era of the store to which the offset belongs.
+    version
+        Version of the sender's configuration; zero if it has none.
     """
 
     offset: int
     version_sum: int
     is_reader: bool = False
     era: StoreEra = StoreEra(0)
+    version: ConfigVersion = ConfigVersion(0)
 
     @property
     def position(self) -> StorePosition:
         """Position up to which the sender has applied records."""
         return StorePosition(self.era, self.offset)
 
+    def has_newer_operators(self, other: 'Progress') -> bool:
+        """Return whether the sender knows operator state that other does not.
+
+        A later position alone does not tell: a restored store may have lost a
+        configuration that nodes have adopted.
+        """
+        return self.position > other.position or self.version > other.version
+
+    def has_newer_nodes(self, other: 'Progress') -> bool:
+        """Return whether the sender knows announcements that other does not."""
+        return self.version_sum > other.version_sum
+
+    def is_ahead_of(self, other: 'Progress') -> bool:
+        """Return whether the sender knows anything that other does not."""
+        return self.has_newer_operators(other) or self.has_newer_nodes(other)
+
 
 class OperatorSnapshot(msgspec.Struct, array_like=True, tag=11):
     """The complete operator state up to an offset.
--- a/packages/forwarding/bilberryrail/forwarding/operators.py
+++ b/packages/forwarding/bilberryrail/forwarding/operators.py
@@ -82,14 +82,15 @@
         return False
 
     def replace(self, snapshot: OperatorSnapshot) -> bool:
-        """Apply a later snapshot; return whether the state or era changed."""
-        if snapshot.position <= self.position:
-            return False
-        changed = self._replace_zones(snapshot)
-        changed |= snapshot.era != self.position.era
-        self.position = snapshot.position
-        if snapshot.config is not None:
-            changed |= self._adopt(snapshot.config)
+        """Apply what is newer in a snapshot; return whether anything changed.
+
+        The era counts as a part of the state, the offset does not.
+        """
+        changed = snapshot.config is not None and self._adopt(snapshot.config)
+        if snapshot.position > self.position:
+            changed |= self._replace_zones(snapshot)
+            changed |= snapshot.era != self.position.era
+            self.position = snapshot.position
         return changed
 
     def drop_unconfirmed_zones(self) -> bool:
--- a/packages/gateway/bilberryrail/gateway/gossip.py
+++ b/packages/gateway/bilberryrail/gateway/gossip.py
@@ -8,7 +8,7 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.operators import OperatorState
-from bilberryrail.forwarding.records import BackendLoad
+from bilberryrail.forwarding.records import BackendLoad, ConfigVersion
 from bilberryrail.forwarding.target import Target
 from bilberryrail.gateway.link import Link
 from bilberryrail.gateway.links import Links
@@ -115,24 +115,20 @@
             self.reader_selection.reader_reported()
         own = self._progress()
         now = self.reactor.seconds()
-        if (
-            progress.position > own.position
-            or progress.version_sum > own.version_sum
-        ):
+        if progress.is_ahead_of(own):
             self._request_state(node, own, now)
-        if (
-            progress.position < own.position
-            or progress.version_sum < own.version_sum
-        ):
-            self._send_state(node, progress, now)
+        if own.is_ahead_of(progress):
+            self._send_state(node, own, progress, now)
 
     def _progress(self) -> messages.Progress:
         position = self.operators.position
+        config = self.operators.config
         return messages.Progress(
             position.offset,
             self.membership.version_sum,
             is_reader=self.is_store_up() and self.reader_selection.serves_zone,
             era=position.era,
+            version=config.version if config else ConfigVersion(0),
         )
 
     def _is_same_zone(self, node: NodeId) -> bool:
@@ -154,15 +150,16 @@
     def _send_state(
         self,
         node: NodeId,
+        own: messages.Progress,
         progress: messages.Progress,
         now: float,
     ) -> None:
         if now - self._sent_at.get(node, 0) < MIN_EXCHANGE_INTERVAL_S:
             return
         self._sent_at[node] = now
-        if progress.position < self.operators.position:
+        if own.has_newer_operators(progress):
             self.links.send_if_open(node, self.operators.snapshot())
-        if progress.version_sum < self.membership.version_sum:
+        if own.has_newer_nodes(progress):
             self.links.send_if_open(node, messages.Nodes(self.membership.all()))
 
     def _push_change(self) -> None:
--- a/packages/gateway/bilberryrail/gateway/gossip_test.py
+++ b/packages/gateway/bilberryrail/gateway/gossip_test.py
@@ -14,9 +14,18 @@
     OperatorSnapshot,
     Progress,
 )
-from bilberryrail.forwarding.operators import OperatorState, ZoneRecord
+from bilberryrail.forwarding.operators import (
+    ConfigRecord,
+    OperatorState,
+    ZoneRecord,
+)
 from bilberryrail.forwarding.readers import MIN_NODES_FOR_READERS
-from bilberryrail.forwarding.records import BackendLoad, StorePosition
+from bilberryrail.forwarding.records import (
+    BackendLoad,
+    ConfigVersion,
+    StorePosition,
+    TrafficConfig,
+)
 from bilberryrail.gateway.gossip import (
     CHANGE_DELAY_S,
     PROGRESS_INTERVAL_S,
@@ -132,6 +141,35 @@
     assert bench.operators.position == StorePosition(2, 3)
 
 
+def adopt(bench, version):
+    """Let a node adopt a configuration that its store has lost since."""
+    config = TrafficConfig(ConfigVersion(version), (), {})
+    bench.operators.apply(ConfigRecord(0, config))
+    bench.operators.replace(OperatorSnapshot(1, None, (), era=2))
+
+
+def test_configuration_that_the_store_lost_is_sent_to_a_restarted_node(bench):
+    # Guards against a node that restarts after a restore of the store and
+    # serves the old configuration, though all others have the newer one.
+    adopt(bench, 7)
+    own_sum = bench.membership.version_sum
+    bench.gossip.progress_received('near1', Progress(1, own_sum, era=2))
+    assert bench.links.recipients(OperatorSnapshot) == ['near1']
+
+
+def test_restarted_node_requests_the_configuration_that_the_store_lost(bench):
+    # Guards against the same, for a node that hears of the newer configuration
+    # instead of telling of its old one.
+    adopt(bench, 7)
+    newer = Progress(1, bench.membership.version_sum, era=2, version=9)
+    bench.gossip.progress_received('near1', newer)
+    assert bench.links.recipients(Progress) == ['near1']
+    assert bench.operators.replace(
+        OperatorSnapshot(1, TrafficConfig(ConfigVersion(9), (), {}), (), era=2)
+    )
+    assert bench.operators.config.version == 9
+
+
 def test_node_without_the_store_sends_progress_to_its_whole_region(bench):
     # Guards against a zone in which no node reaches the store.
     bench.is_store_up = False
