Let a restarted node outbid its earlier start after a clock step

A node whose clock was set back between two starts announced itself with an earlier start than its former process. All others ignored it; if the former process had announced that it leaves, the host got no requests until a start with a later time.

A node that reads an announcement of its own earlier process, from the store or from a peer, which counts as newer than its own takes a start one second later than that. The new test failed on the code before.

--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -29,6 +29,11 @@
 _INCARNATION_BITS: Final = 62
 _MS_PER_S: Final = 1000
 
+#: Smallest time by which the start of a node counts as later than that of its
+#: earlier process, in milliseconds. ``Membership.version_sum`` only counts whole
+#: seconds.
+_MIN_START_STEP_MS: Final = 1000
+
 
 def initial_announcement(settings: GatewaySettings, random: Random) -> Peer:
     """Build the announcement of a node that has just started."""
@@ -141,7 +146,9 @@
         for announced in changed:
             self.candidates.runs.announced(announced)
         for peer in peers:
-            if peer.node == self.membership.own.node:
+            is_own = peer.node == self.membership.own.node
+            if is_own and peer.incarnation != self.membership.own.incarnation:
+                self._supersede(peer)
                 self._restore_departure(peer)
         if changed:
             self.apply_membership()
@@ -196,6 +203,17 @@
             for node in self.random.sample(nodes, count):
                 self.links.send(node, message)
 
+    def _supersede(self, earlier: Peer) -> None:
+        """Make this node's announcement newer than one of its earlier process.
+
+        It is not if the clock was set back between the starts of both.
+        """
+        own = self.membership.own
+        if earlier.is_newer_than(own):
+            started_ms = earlier.started_ms + _MIN_START_STEP_MS
+            self.log('start_superseded', started_ms=earlier.started_ms)
+            self._announce(replace(own, started_ms=started_ms))
+
     def _restore_departure(self, earlier: Peer) -> None:
         """Restore from the store that a backend server instance has left.
 
@@ -203,9 +221,7 @@
         departure; without the stored announcement it would use the instance
         again.
         """
-        own = self.membership.own
-        is_earlier = earlier.incarnation != own.incarnation
-        if is_earlier and earlier.backend_departed:
+        if earlier.backend_departed:
             self.backend.instance_left(earlier.instance, earlier.born_ms)
             self.refresh()
 
--- a/packages/gateway/bilberryrail/gateway/presence_test.py
+++ b/packages/gateway/bilberryrail/gateway/presence_test.py
@@ -108,6 +108,22 @@
     assert not bench.backend.is_usable(Seconds(1))
 
 
+def test_node_whose_clock_was_set_back_announces_itself_as_newer(bench):
+    # Guards against a restarted node that all others ignore, because the clock
+    # was set back since the start of its earlier process.
+    earlier = peer('n1', started_ms=5000, leaving=True)
+    bench.presence.merge_announcements([earlier])
+    assert bench.membership.own.is_newer_than(earlier)
+    assert bench.links.broadcasts[-1].peer == bench.membership.own
+
+
+def test_announcement_of_this_process_changes_nothing(bench):
+    # Guards against a node that announces itself again for each announcement of
+    # its own that comes back from the store or a peer.
+    bench.presence.merge_announcements([bench.membership.own])
+    assert not bench.links.broadcasts
+
+
 def test_large_fleet_keeps_links_within_its_region(bench):
     # Guards against a fleet of more than 40 nodes that keeps no links, so that
     # no node learns which backend servers are ready.
