Restore the store in the soak and check the configuration

No soak, checker or stand-in lost what the store had acknowledged, and no checker compared the configuration in force with the newest one.

Each configuration has a route that only it has; after the faults all callers use it, and a 404 breaks the check.

--- a/packages/soak/bilberryrail/soak/checkers.py
+++ b/packages/soak/bilberryrail/soak/checkers.py
@@ -119,6 +119,7 @@
             _home_zones_respected,
             _cold_limits_respected,
             _stated_limits_respected,
+            _newest_configuration_in_force,
             _recovery,
         )
         for line in check(observations)
@@ -243,6 +244,19 @@
             )
 
 
+def _newest_configuration_in_force(
+    observations: Observations,
+) -> Iterator[str]:
+    fault_free = observations.fault_free
+    for call in observations.calls:
+        if (
+            fault_free is not None
+            and call.sent_at >= fault_free.at
+            and call.status == HTTPStatus.NOT_FOUND
+        ):
+            yield f'config: {call.node} has no route for {call.route.prefix}'
+
+
 def _recovery(observations: Observations) -> Iterator[str]:
     fault_free = observations.fault_free
     if fault_free is None:
--- a/packages/soak/bilberryrail/soak/checkers_test.py
+++ b/packages/soak/bilberryrail/soak/checkers_test.py
@@ -12,7 +12,12 @@
     ZoneOut,
     violations,
 )
-from bilberryrail.soak.topology import BOOKING, HOME_BOOKING, LOOKUP
+from bilberryrail.soak.topology import (
+    BOOKING,
+    HOME_BOOKING,
+    LOOKUP,
+    version_route,
+)
 
 
 def run(request_id='q1', *, at=10.0, **fields):
@@ -153,6 +158,17 @@
     ]
 
 
+def test_old_configuration_after_the_faults_is_found():
+    # Guards against a soak that passes although a node has missed the newest
+    # configuration for good.
+    fault_free = FaultFreePeriod(9.0, 12.0)
+    calls = [call(f'q{index}') for index in range(30)]
+    old = call('q30', status=404, route=version_route(7))
+    assert not violation_kinds(observe([], calls, fault_free=fault_free))
+    found = observe([], [*calls, old], fault_free=fault_free)
+    assert violation_kinds(found) == ['config']
+
+
 def test_stated_limit_is_checked():
     # Guards against a soak that does not notice requests beyond a stated limit,
     # or that counts those before it had settled.
--- a/packages/soak/bilberryrail/soak/fleet.py
+++ b/packages/soak/bilberryrail/soak/fleet.py
@@ -16,8 +16,8 @@
     Departure,
     Run,
 )
-from bilberryrail.adapter.standins.caller import Caller
-from bilberryrail.adapter.standins.log_service import LogService
+from bilberryrail.adapter.standins.caller import Caller, ClientRoute
+from bilberryrail.adapter.standins.log_service import LogService, Topic
 from bilberryrail.gateway.http_server import HttpServer
 from bilberryrail.soak import topology
 from bilberryrail.soak.checkers import Observations
@@ -86,6 +86,8 @@
         Proxy for the links that other nodes open to each host.
     store_proxies
         Proxy for the connections from each host to the store.
+    written
+        Newest record of the operators for each key.
     """
 
     def __init__(
@@ -113,6 +115,7 @@
         self.backends: dict[str, BackendServer] = {}
         self.callers: list[Caller] = []
         self.version = 1
+        self.written: dict[str, bytes] = {}
         self._serve(topology.store_address(network), self.log)
         for host in hosts:
             self._add_stand_ins(host, random, topology.store_address(network))
@@ -143,12 +146,33 @@
         """Write a new configuration to the log, as operators do."""
         self.version += 3
         raw = topology.configuration(self.version, board_weight)
-        self.log.put(names.OPERATOR_TOPIC, names.CONFIG_KEY, raw)
+        self._write(names.CONFIG_KEY, raw)
 
     def set_zone(self, zone: str, *, is_out: bool) -> None:
         """Take a zone out or bring it back, as operators do."""
         key = f'{names.EVACUATION_PREFIX}{zone}'
-        self.log.put(names.OPERATOR_TOPIC, key, b'{}' if is_out else b'')
+        self._write(key, b'{}' if is_out else b'')
+
+    def rewrite_config(self) -> None:
+        """Write the newest configuration to a restored log."""
+        self._write(names.CONFIG_KEY, self.written[names.CONFIG_KEY])
+
+    def rewrite_zones(self, copy: dict[str, Topic]) -> None:
+        """Write what a copy of the log lacks of the zones' newest states."""
+        kept = copy[names.OPERATOR_TOPIC].newest()
+        for key, payload in tuple(self.written.items()):
+            kept_payload, _ = kept.get(key, (b'', 0))
+            if key != names.CONFIG_KEY and payload != kept_payload:
+                self._write(key, payload)
+
+    @property
+    def newest_route(self) -> ClientRoute:
+        """Route that only the newest configuration has."""
+        return topology.version_route(self.version)
+
+    def _write(self, key: str, payload: bytes) -> None:
+        self.written[key] = payload
+        self.log.put(names.OPERATOR_TOPIC, key, payload)
 
     def _add_stand_ins(
         self, host: topology.Host, random: Random, store: Any
--- a/packages/soak/bilberryrail/soak/run.py
+++ b/packages/soak/bilberryrail/soak/run.py
@@ -14,6 +14,7 @@
 from bilberryrail.soak.checkers import FaultFreePeriod, violations
 from bilberryrail.soak.faults import FaultDriver
 from bilberryrail.soak.fleet import Fleet
+from bilberryrail.soak.restores import RestoreDriver
 from bilberryrail.soak.statements import StatementDriver
 
 #: Time in seconds for the fleet to start before callers send requests.
@@ -91,6 +92,7 @@
         reactor.addSystemEventTrigger('before', 'shutdown', self.fleet.stop)
         self.driver = FaultDriver(reactor, self.random, self.fleet)
         self.statements = StatementDriver(reactor, settings.seed, self.fleet)
+        self.restores = RestoreDriver(reactor, settings.seed, self.fleet)
         self.started_at: float = 0
 
     def run(self) -> Any:
@@ -114,12 +116,15 @@
         ends_at = self.reactor.seconds() + self.settings.faults_s
         stating = self.statements.run(ends_at, self.settings.statement_pause_s)
         ensureDeferred(stating)
+        ensureDeferred(self.restores.run(ends_at))
         while self.reactor.seconds() < ends_at:
             pause_s = self.random.expovariate(1 / self.settings.pause_s)
             await deferLater(self.reactor, pause_s)
             self.driver.strike()
         await deferLater(self.reactor, RECOVERY_S)
         now = self.reactor.seconds()
+        for caller in self.fleet.callers:
+            caller.routes = (*topology.ROUTES, self.fleet.newest_route)
         await deferLater(self.reactor, FAULT_FREE_S)
         # Calls that were sent less than 1.5 s ago may still be in flight.
         self.fleet.observations.fault_free = FaultFreePeriod(
@@ -139,7 +144,9 @@
             history=tuple(
                 (round(at - self.started_at, 2), name, host)
                 for at, name, host in sorted(
-                    self.driver.history + self.statements.history
+                    self.driver.history
+                    + self.statements.history
+                    + self.restores.history
                 )
             ),
             folder=self.folder,
--- a/packages/soak/bilberryrail/soak/topology.py
+++ b/packages/soak/bilberryrail/soak/topology.py
@@ -35,6 +35,8 @@
 BOOKING: Final = ClientRoute('club.example', '/book/', is_idempotent=False)
 HOME_BOOKING: Final = ClientRoute('club.example', '/home/', is_idempotent=False)
 ROUTES: Final = (LOOKUP, BOOKING, HOME_BOOKING)
+#: Path prefix of the route that shows which version is in force on a node.
+VERSION_PREFIX: Final = '/version/'
 
 #: Number of loopback networks; seeds that differ by less do not share one.
 _NETWORKS: Final = 200
@@ -128,10 +130,18 @@
     return Address(f'127.{octet}.250.1', _PORTS['store'])
 
 
+def version_route(version: int) -> ClientRoute:
+    """Return the route that only one version of the configuration has."""
+    return ClientRoute(
+        'club.example', f'{VERSION_PREFIX}{version}/', is_idempotent=True
+    )
+
+
 def configuration(version: int, board_weight: int) -> bytes:
     """Encode a configuration; bookings are split between both services."""
     routes = {
         'lookup': _route(LOOKUP, service='board'),
+        'version': _route(version_route(version), service='board'),
         'booking': _route(
             BOOKING,
             traffic_split=[
