Call the store more rarely while it is away

While the store was away, each node tried again four times a second, and twice more for announcements.

The pause doubles from 0.25 to 1 s, and from 0.5 to 2 s for announcements of a node that is announced already. One second keeps a node up to date within the 2.5 s after the return in which a change has to be in force; a node that nobody knows yet keeps its pause of 0.5 s, as test_follower_recovers asks. After a restore only nodes that read the store read the announcements again.

Test: 57 calls in 10 s of outage before, 20 allowed.

--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -10,6 +10,7 @@
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.operators import OperatorState
 from bilberryrail.forwarding.records import StoreEra
+from bilberryrail.gateway.backoff import Backoff, jittered
 from bilberryrail.gateway.metrics import Metrics
 from bilberryrail.gateway.store import Store, StoreError, TrimmedError
 
@@ -17,8 +18,11 @@
 #: call is paid for; keep-alive probes detect a silent connection much sooner.
 POLL_WAIT_S: Final = 12.0
 
-#: Pause after a failed call, in seconds.
+#: First and longest pause after a failed read of the operators' state, in
+#: seconds. The longest one is short enough that a node is up to date within 2.5 s
+#: after the return of the store.
 RETRY_S: Final = 0.25
+MAX_RETRY_S: Final = 1.0
 
 #: Interval at which a node that does not read checks whether it has to, in
 #: seconds.
@@ -29,17 +33,17 @@
 #: no link has reached.
 MEMBERS_INTERVAL_S: Final = 15.0
 
-#: Pause before a failed announcement is retried, in seconds.
+#: First and longest pause after a failed announcement, or a failed read of the
+#: announcements, in seconds. A node that is not announced yet always waits for
+#: the first one.
 ANNOUNCE_RETRY_S: Final = 0.5
+MAX_ANNOUNCE_RETRY_S: Final = 2.0
 
 #: Announcements per second that all nodes together write again after a restore
 #: of the store, on average. The store of the smallest deployment takes 400 calls
 #: per second.
 RENEWALS_PER_S: Final = 100.0
 
-#: Width of the random factor by which each pause is multiplied, around 1.
-_JITTER: Final = 0.5
-
 
 class StoreFollower:
     """Keeps the operators' state and the membership up to date.
@@ -115,15 +119,17 @@
             await deferLater(self.reactor, spread_s * self.random.random())
             await self._announce()
         self.is_renewing = False
-        await self._read_members()
+        if self.must_read():
+            await self._read_members()
 
     async def _announce(self) -> bool:
+        backoff = self._announce_backoff()
         while not self.is_stopped:
             try:
                 era = await self.store.announce(self.membership.own)
             except StoreError as error:
                 self._failed('announce', error)
-                await self._pause(ANNOUNCE_RETRY_S)
+                await deferLater(self.reactor, backoff.next_s())
             else:
                 self._answered('announce')
                 self.announced_era = era
@@ -132,12 +138,14 @@
 
     async def _follow_operators(self) -> None:
         has_state = False
+        backoff = Backoff(self.random, RETRY_S, MAX_RETRY_S)
         while not self.is_stopped:
             try:
                 if has_state and not self.must_read():
                     await self._pause(READER_CHECK_INTERVAL_S)
                 elif has_state:
                     has_state = await self._read_records()
+                    backoff.reset()
                 else:
                     await self._read_state()
                     has_state = True
@@ -148,10 +156,10 @@
                     offset=self.operators.position.offset,
                 )
                 has_state = False
-                await self._pause(RETRY_S)
+                await deferLater(self.reactor, backoff.next_s())
             except StoreError as error:
                 self._failed('operators', error)
-                await self._pause(RETRY_S)
+                await deferLater(self.reactor, backoff.next_s())
 
     async def _read_state(self) -> None:
         snapshot = await self.store.operator_state()
@@ -218,12 +226,13 @@
 
     async def _read_members(self) -> None:
         """Read all announcements, with retries."""
+        backoff = self._announce_backoff()
         while not self.is_stopped:
             try:
                 peers = await self.store.announcements()
             except StoreError as error:
                 self._failed('announcements', error)
-                await self._pause(ANNOUNCE_RETRY_S)
+                await deferLater(self.reactor, backoff.next_s())
             else:
                 self._answered('announcements')
                 self.on_peers(list(peers))
@@ -242,8 +251,13 @@
             self.log('store_lost', call=kind, reason=str(error))
 
     def _pause(self, pause_s: float) -> 'Deferred[None]':
-        factor = 1 + _JITTER * (self.random.random() - 1 / 2)
-        return deferLater(self.reactor, pause_s * factor)
+        return deferLater(self.reactor, jittered(self.random, pause_s))
+
+    def _announce_backoff(self) -> Backoff:
+        # Others cannot find a node that is not announced yet.
+        is_announced = self.announced_era is not None
+        max_s = MAX_ANNOUNCE_RETRY_S if is_announced else ANNOUNCE_RETRY_S
+        return Backoff(self.random, ANNOUNCE_RETRY_S, max_s)
 
     def _run(self, task: Coroutine[Any, Any, None]) -> None:
         running = ensureDeferred(task)
