Split the announcements from the follower of the store

StoreFollower had grown to two tasks with seventeen methods: the operators' state, and the announcement of this node with the list of the others. The second is Announcer now, and StoreHealth holds what both share, whether the store answers. No call, pause or log line changes; a test bench starts both.

--- a/packages/gateway/bilberryrail/gateway/follower_test.py
+++ b/packages/gateway/bilberryrail/gateway/follower_test.py
@@ -1,4 +1,4 @@
-"""Tests of how a node follows the store."""
+"""Tests of the tasks that follow the store and announce a node there."""
 
 from itertools import repeat
 from random import Random
@@ -12,9 +12,11 @@
 from bilberryrail.forwarding.messages import OperatorSnapshot
 from bilberryrail.forwarding.operators import OperatorState, ZoneRecord
 from bilberryrail.forwarding.records import BackendPhase, StorePosition
-from bilberryrail.gateway.follower import MEMBERS_INTERVAL_S, StoreFollower
+from bilberryrail.gateway.announcer import MEMBERS_INTERVAL_S, Announcer
+from bilberryrail.gateway.follower import StoreFollower
 from bilberryrail.gateway.metrics import Metrics
 from bilberryrail.gateway.store import OperatorRecords
+from bilberryrail.gateway.store_health import StoreHealth
 
 
 class FakeStore:
@@ -58,16 +60,28 @@
         self.store = FakeStore()
         self.operators = OperatorState()
         self.must_read = False
+        self.health = StoreHealth(Metrics(), _ignore)
         self.follower = StoreFollower(
+            self.clock,
+            Random(1),
+            self.store,
+            self.operators,
+            self.health,
+            lambda: self.must_read,
+        )
+        self.announcer = Announcer(
             self.clock,
             Random(1),
             self.store,
             self.operators,
             Membership(peer('n1')),
-            Metrics(),
-            _ignore,
+            self.health,
+            lambda: self.must_read,
         )
-        self.follower.must_read = lambda: self.must_read
+
+    def start(self):
+        self.follower.start()
+        self.announcer.start()
 
     def run(self, seconds):
         self.clock.pump(repeat(0.1, int(seconds / 0.1)))
@@ -80,14 +94,14 @@
 
 def test_every_node_reads_at_its_start(bench):
     # Guards against a node that waits for readers which have not started yet.
-    bench.follower.start()
+    bench.start()
     reads = ['state', 'announcements']
     assert bench.store.calls == [*reads, 'announce', 'announcements']
 
 
 def test_node_that_need_not_read_makes_no_calls(bench):
     # Guards against calls of the store that grow with the fleet.
-    bench.follower.start()
+    bench.start()
     bench.store.calls.clear()
     bench.run(3 * MEMBERS_INTERVAL_S)
     assert not bench.store.calls
@@ -95,7 +109,7 @@
 
 def test_node_that_must_read_continues_at_its_offset(bench):
     # Guards against skipping records when another node takes over as reader.
-    bench.follower.start()
+    bench.start()
     bench.operators.apply(ZoneRecord(6, 'east', is_out=True))
     bench.must_read = True
     bench.run(1)
@@ -109,7 +123,7 @@
     # Guards against records of a restored store that are applied behind an
     # offset of the time before, so that those in between are missed.
     bench.must_read = True
-    bench.follower.start()
+    bench.start()
     bench.run(1)
     record = ZoneRecord(4, 'west', is_out=True)
     bench.store.era = 2
@@ -120,14 +134,14 @@
 
 def test_state_of_an_earlier_era_is_not_adopted(bench):
     # Guards against a delayed answer of the store from before its restore.
-    bench.follower.start()
+    bench.start()
     bench.operators.replace(OperatorSnapshot(2, None, (), era=2))
     bench.must_read = True
     bench.run(1)
     bench.store.waiting.callback(OperatorRecords([], 4))
     bench.run(1)
     assert bench.operators.position == StorePosition(2, 2)
-    assert not bench.follower.is_reachable
+    assert not bench.health.is_reachable
 
 
 def test_record_of_the_earlier_process_is_read_before_it_is_replaced(bench):
@@ -136,6 +150,6 @@
     earlier = peer('n1', started_ms=500, phase=BackendPhase.DRAINING)
     bench.store.members['n1'] = earlier
     found = []
-    bench.follower.on_peers = found.extend
-    bench.follower.start()
+    bench.announcer.on_peers = found.extend
+    bench.start()
     assert earlier in found
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -14,6 +14,7 @@
 from bilberryrail.forwarding.routes import SplitChooser
 from bilberryrail.forwarding.selection import CandidateTable
 from bilberryrail.forwarding.target import Target
+from bilberryrail.gateway.announcer import Announcer
 from bilberryrail.gateway.backend_pool import BackendPool
 from bilberryrail.gateway.control import ControlService, ReadyService
 from bilberryrail.gateway.decision_log import DecisionLog
@@ -34,6 +35,7 @@
 from bilberryrail.gateway.settings_watch import SettingsWatch
 from bilberryrail.gateway.shutdown import Shutdown
 from bilberryrail.gateway.store import Store
+from bilberryrail.gateway.store_health import StoreHealth
 from bilberryrail.gateway.traffic import Traffic
 from bilberryrail.gateway.unconfirmed_zones import UnconfirmedZones
 
@@ -87,20 +89,7 @@
         self._build_links(settings)
         self._build_servers(settings)
         store = make_store(reactor, parse_address(settings.store), log.process)
-        self.follower = StoreFollower(
-            reactor,
-            self.random,
-            store,
-            self.operators,
-            self.membership,
-            self.metrics,
-            log.process,
-        )
-        self.follower.on_operators = self._operators_changed
-        self.follower.on_peers = self.presence.merge_announcements
-        self.presence.store_announcement = self.follower.announce
-        self.follower.must_read = lambda: self.reader_selection.must_read
-        self.gossip.is_store_up = lambda: self.follower.is_reachable
+        self._build_store_tasks(store)
         self.shutdown = Shutdown(self, on_stopped)
 
     @property
@@ -138,6 +127,7 @@
         )
         self.presence.apply_membership()
         self.follower.start()
+        self.announcer.start()
         self.health.start()
         self.gossip.start()
         self.traffic.start()
@@ -227,6 +217,33 @@
             self._operators_changed,
         )
 
+    def _build_store_tasks(self, store: Store) -> None:
+        health = StoreHealth(self.metrics, self.log.process)
+        self.follower = StoreFollower(
+            self.reactor,
+            self.random,
+            store,
+            self.operators,
+            health,
+            self._must_read,
+        )
+        self.follower.on_operators = self._operators_changed
+        self.announcer = Announcer(
+            self.reactor,
+            self.random,
+            store,
+            self.operators,
+            self.membership,
+            health,
+            self._must_read,
+        )
+        self.announcer.on_peers = self.presence.merge_announcements
+        self.presence.store_announcement = self.announcer.announce
+        self.gossip.is_store_up = lambda: health.is_reachable
+
+    def _must_read(self) -> bool:
+        return self.reader_selection.must_read
+
     def _build_servers(self, settings: GatewaySettings) -> None:
         self.frontend = Frontend(
             self.reactor,
@@ -284,7 +301,7 @@
             zones_out=','.join(sorted(zones_out)),
         )
         self.unconfirmed_zones.operators_changed()
-        self.follower.renew_announcement()
+        self.announcer.renew()
         self.gossip.operators_changed()
         self.target.process_queue()
         if not self.backend.instance:
--- a/packages/gateway/bilberryrail/gateway/shutdown.py
+++ b/packages/gateway/bilberryrail/gateway/shutdown.py
@@ -97,5 +97,6 @@
             running=len(process.target.in_flight),
         )
         process.follower.stop()
+        process.announcer.stop()
         process.links.close()
         self.reactor.callLater(FLUSH_S, self.on_stopped)
--- a/packages/gateway/bilberryrail/gateway/shutdown_test.py
+++ b/packages/gateway/bilberryrail/gateway/shutdown_test.py
@@ -41,7 +41,8 @@
             presence=SimpleNamespace(is_leaving=False),
             backend_changed=self.changed,
             membership=SimpleNamespace(own=None),
-            follower=SimpleNamespace(announce=ignore, stop=ignore),
+            follower=SimpleNamespace(stop=ignore),
+            announcer=SimpleNamespace(announce=ignore, stop=ignore),
             client_server=SimpleNamespace(
                 is_closing=False,
                 start_closing=lambda: self.closed.append(self.now()),
