Write no configuration after the soak's recovery

Soak seed 1005 broke the new check of the configuration: all nodes answered 404 on the route of version 52. Their logs show that they had adopted version 55, which removed that route, 1.6 s after the store was restored, as they should. The driver of restores had begun its last round before the end of the faults and wrote version 55 ten seconds after it, after the callers had been told the newest route. The check is right; the driver now begins no restore after the end of the faults. The seed is a regression case.

A soak that could not start, because its addresses were in use, hung and was counted as passed when it was ended; it counts as failed now.

--- a/packages/soak/bilberryrail/soak/__main__.py
+++ b/packages/soak/bilberryrail/soak/__main__.py
@@ -6,6 +6,7 @@
 from typing import Annotated, Any, Final
 
 import typer
+from twisted.internet.defer import maybeDeferred
 
 from bilberryrail.gateway import reactor as node_reactor
 
@@ -36,7 +37,9 @@
             reactor.stop()
             return
         settings = SoakSettings(first + index, nodes=nodes, faults_s=seconds)
-        running = Soak(reactor, settings).run()
+        # A soak that cannot start, for example because an address is in use,
+        # counts as failed.
+        running = maybeDeferred(lambda: Soak(reactor, settings).run())
         running.addCallback(report_result)
         running.addErrback(report_failure, settings.seed)
         running.addBoth(lambda _: run_next(index + 1))
--- a/packages/soak/bilberryrail/soak/regression_test.py
+++ b/packages/soak/bilberryrail/soak/regression_test.py
@@ -12,6 +12,9 @@
     (3, 8),
     # At 15.1 s, SIGHUP during its start ended a node, which stayed down.
     (200, 12),
+    # The driver of restores wrote a configuration after the recovery, which
+    # removed the route that callers then used.
+    (1005, 15),
 )
 
 
--- a/packages/soak/bilberryrail/soak/restores.py
+++ b/packages/soak/bilberryrail/soak/restores.py
@@ -41,10 +41,16 @@
         self.history: list[tuple[float, str, str]] = []
 
     async def run(self, ends_at: float) -> None:
-        """Restore the store until a time, one copy after another."""
-        while self.reactor.seconds() < ends_at:
+        """Restore the store until a time, one copy after another.
+
+        The last restore begins before that time, because no configuration may
+        be written after the recovery.
+        """
+        while True:
             copy = self.fleet.log.backup()
             await self._change_configs()
+            if self.reactor.seconds() >= ends_at:
+                return
             await self._restore(copy)
             self._change_config()
 
