Log which requests were in flight when a backend server ended

The ingress computes a fingerprint of the method, host, target, caller and body. The lines send and target_dispatch have it, and backend_crashed lists the fingerprints of the requests that were in flight when connections are refused or another run takes the place of the backend server. A reset starts a health check, so that this is known within milliseconds. No decision uses the fingerprint yet.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -1,11 +1,12 @@
 """State of the backend server beside a node, as its node knows it."""
 
 import math
-from dataclasses import dataclass
 from typing import Final
 
 from bilberryrail.core.ids import Seconds, ServiceId
 from bilberryrail.forwarding.cold import ColdLimiter
+from bilberryrail.forwarding.crash_watch import CrashWatch, RunningRequest
+from bilberryrail.forwarding.fingerprint import NO_FINGERPRINT, Fingerprint
 from bilberryrail.forwarding.load_report import (
     HealthResult,
     Heartbeat,
@@ -23,7 +24,6 @@
 from bilberryrail.forwarding.service_time import (
     ErrorShare,
     ServiceTimeEstimator,
-    Start,
 )
 from bilberryrail.forwarding.settings import AdmissionSettings
 
@@ -43,21 +43,6 @@
 _TRIAL_INTERVAL_S: Final = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class RunningRequest:
-    """A request that was sent to the backend server and has not ended.
-
-    Attributes
-    ----------
-    start
-        What was known about the host's speed when it was sent.
-    """
-
-    route: RouteId
-    sent_at: Seconds
-    start: Start
-
-
 class Backend:
     """State of the backend server, from heartbeats, health checks and answers.
 
@@ -68,6 +53,8 @@
         new requests.
     down
         Whether it refuses connections.
+    crashes
+        Finds the requests that were in flight when a run ended.
     running
         Requests that are in flight, by number, oldest first.
     """
@@ -87,6 +74,8 @@
         self.errors = ErrorShare()
         self.rules: ServiceRules | None = None
         self.running: dict[int, RunningRequest] = {}
+        self.crashes = CrashWatch(self.statements, self.running)
+        self._has_heartbeat = False
         self._untracked_running = 0
         self._failed_checks = 0
         self._warm_at = Seconds(-math.inf)
@@ -107,6 +96,7 @@
             return False
         if not is_same:
             self._run_started(run, now)
+        self._has_heartbeat = True
         self.born_ms = heartbeat.born_ms
         self.sequence = heartbeat.sequence
         self.service = heartbeat.service
@@ -147,12 +137,15 @@
             # The first heartbeat of the instance has not arrived yet.
             run = BackendRun(health.instance, self.born_ms)
             self._run_started(run, now)
+            self._has_heartbeat = False
             if health.is_healthy and not self.statements.has_left(run):
                 self.phase = BackendPhase.READY
         if health.load is not None:
             self.load_reported(health.load, now)
         if health.cold_s is not None:
             self._cold_reported(health.cold_s, now)
+        if health.is_healthy or health.instance:
+            self.crashes.heard(now)
         if health.is_healthy:
             self.down = False
             self._failed_checks = 0
@@ -172,12 +165,21 @@
         self.slots = report.slots or self.slots
         self._untracked_running = max(0, report.running - len(self.running))
 
+    def connection_refused(self) -> None:
+        """Record that nothing listens at the address of the backend server."""
+        self.down = True
+        self.crashes.run_ended(self.run)
+
     def request_started(
-        self, number: int, route: RouteId, now: Seconds
+        self,
+        number: int,
+        route: RouteId,
+        now: Seconds,
+        fingerprint: Fingerprint = NO_FINGERPRINT,
     ) -> None:
         """Record a request that is sent to the backend server."""
         self.running[number] = RunningRequest(
-            route, now, self.service_time.run_started(route, now)
+            route, now, self.service_time.run_started(route, now), fingerprint
         )
         self.cold.request_sent(now)
         self.statements.rate.request_sent(now)
@@ -243,7 +245,7 @@
 
     def slowdown(self, now: Seconds) -> float:
         """Return the present duration of requests relative to the usual one."""
-        return max(self.service_time.slowdown(now), self._stall_slowdown(now))
+        return max(self.service_time.slowdown(now), _stall_slowdown(self, now))
 
     def expected_s(self, now: Seconds, route: RouteId | None = None) -> float:
         """Return the expected time to an answer of a request sent now.
@@ -251,7 +253,7 @@
         Without a route, it is that of the usual mix of requests.
         """
         slowdown = max(
-            self.service_time.slowdown(now, route), self._stall_slowdown(now)
+            self.service_time.slowdown(now, route), _stall_slowdown(self, now)
         )
         return self.service_time.usual_s(route) * slowdown
 
@@ -281,6 +283,10 @@
             self._warm_at = now
 
     def _run_started(self, run: BackendRun, now: Seconds) -> None:
+        # The first heartbeat of an instance that a health check has identified
+        # only adds the time of its start.
+        if run.instance != self.instance or self._has_heartbeat:
+            self.crashes.run_ended(self.run)
         self.instance = run.instance
         self.born_ms = run.born_ms
         self.sequence = -1
@@ -291,16 +297,17 @@
         self.service_time.restart()
         self.errors = ErrorShare()
 
-    def _stall_slowdown(self, now: Seconds) -> float:
-        """Return the slowdown shown by the oldest request in flight.
 
-        Returns zero unless that request runs for much longer than expected.
-        """
-        if not self.running:
-            return 0
-        oldest = next(iter(self.running.values()))
-        usual_s = self.service_time.usual_s(oldest.route)
-        if not usual_s:
-            return 0
-        ratio = (now - oldest.sent_at) / (usual_s * oldest.start.factor)
-        return ratio / 2 if ratio > _STALL_FACTOR else 0
+def _stall_slowdown(backend: Backend, now: Seconds) -> float:
+    """Return the slowdown shown by the oldest request in flight.
+
+    Returns zero unless that request runs for much longer than expected.
+    """
+    if not backend.running:
+        return 0
+    oldest = next(iter(backend.running.values()))
+    usual_s = backend.service_time.usual_s(oldest.route)
+    if not usual_s:
+        return 0
+    ratio = (now - oldest.sent_at) / (usual_s * oldest.start.factor)
+    return ratio / 2 if ratio > _STALL_FACTOR else 0
--- /dev/null
+++ b/packages/forwarding/bilberryrail/forwarding/crash_watch.py
@@ -0,0 +1,110 @@
+"""Finds the requests that may have crashed the backend server of a node."""
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from bilberryrail.core.ids import Seconds
+from bilberryrail.forwarding.fingerprint import NO_FINGERPRINT, Fingerprint
+from bilberryrail.forwarding.records import BackendRun, RouteId
+from bilberryrail.forwarding.run_statements import RunStatements
+from bilberryrail.forwarding.service_time import Start
+
+#: Time for which answers that a backend server has sent before its end may be
+#: read after its connections were reset, in seconds. Connections are read in any
+#: order.
+_READ_ORDER_S: Final = 0.05
+
+#: Largest number of suspects of one crash. It is more than the requests that run
+#: at once; the most recent ones count if many were lost in a silent crash.
+MAX_SUSPECTS: Final = 32
+
+OnCrashed = Callable[[BackendRun, tuple[Fingerprint, ...]], None]
+
+
+@dataclass(frozen=True, slots=True)
+class RunningRequest:
+    """A request that was sent to the backend server and has not ended.
+
+    Attributes
+    ----------
+    start
+        What was known about the host's speed when it was sent.
+    """
+
+    route: RouteId
+    sent_at: Seconds
+    start: Start
+    fingerprint: Fingerprint = NO_FINGERPRINT
+
+
+class CrashWatch:
+    """Remembers the requests that were lost since the last sign of life.
+
+    A reset connection alone is no crash: a backend server may break off single
+    answers. A crash is known when the backend server refuses connections, or
+    when another run has taken its place.
+
+    Parameters
+    ----------
+    statements
+        Tells which runs have announced their departure.
+    running
+        Requests that are in flight, by number.
+
+    Attributes
+    ----------
+    on_crashed
+        Called with the run that has ended and its suspects: the requests that
+        were in flight, without duplicates.
+    """
+
+    def __init__(
+        self,
+        statements: RunStatements,
+        running: Mapping[int, RunningRequest],
+    ) -> None:
+        self.statements = statements
+        self.running = running
+        self.on_crashed: OnCrashed = _ignore
+        self._lost: deque[tuple[Seconds, Fingerprint]] = deque(
+            maxlen=MAX_SUSPECTS
+        )
+        self._ended_run: BackendRun | None = None
+
+    def heard(self, now: Seconds) -> None:
+        """Record a sign of life; requests lost before it did no harm."""
+        self._ended_run = None
+        while self._lost and self._lost[0][0] < now - _READ_ORDER_S:
+            self._lost.popleft()
+
+    def request_lost(self, number: int, now: Seconds) -> None:
+        """Record a request in flight that ends without an answer.
+
+        It has to be called before the request is removed from ``running``.
+        """
+        request = self.running.get(number)
+        if request is not None:
+            self._lost.append((now, request.fingerprint))
+
+    def run_ended(self, run: BackendRun | None) -> None:
+        """Report that a run has crashed.
+
+        It has not if it had announced its departure, and nobody is suspected if
+        no request was in flight.
+        """
+        suspects = dict.fromkeys(fingerprint for _, fingerprint in self._lost)
+        self._lost.clear()
+        for request in self.running.values():
+            suspects[request.fingerprint] = None
+        suspects.pop(NO_FINGERPRINT, None)
+        if run is None or run == self._ended_run:
+            return
+        self._ended_run = run
+        if suspects and not self.statements.has_left(run):
+            self.on_crashed(run, tuple(suspects)[-MAX_SUSPECTS:])
+
+
+def _ignore(run: BackendRun, suspects: tuple[Fingerprint, ...]) -> None:
+    """Discard a crash; used until a receiver is attached."""
--- a/packages/forwarding/bilberryrail/forwarding/exchanges.py
+++ b/packages/forwarding/bilberryrail/forwarding/exchanges.py
@@ -6,6 +6,7 @@
 
 from bilberryrail.core.ids import AttemptId, NodeId, Seconds, ServiceId
 from bilberryrail.forwarding.candidates import Candidate
+from bilberryrail.forwarding.fingerprint import NO_FINGERPRINT, Fingerprint
 from bilberryrail.forwarding.records import (
     ConfigVersion,
     HttpAnswer,
@@ -57,6 +58,7 @@
     arrived_at: Seconds
     expires_at: Seconds
     respond: Callable[[HttpAnswer], None]
+    fingerprint: Fingerprint = NO_FINGERPRINT
     attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
     excluded: set[NodeId] = field(default_factory=set)
     busy: set[NodeId] = field(default_factory=set)
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -301,6 +301,7 @@
             why=choice.reason,
             version=exchange.version,
             repeat=is_retry,
+            content=exchange.fingerprint.hex(),
             expected_s=round(choice.expected_s, 4),
             aim_left_s=round(exchange.target_latency_left_s(now), 3),
             report_age_s=round(now - choice.candidate.load_at, 3),
@@ -316,6 +317,7 @@
             max_answer_s=self._max_answer_s(exchange, choice),
             priority=exchange.route.priority,
             idempotent=exchange.route.idempotent,
+            fingerprint=exchange.fingerprint,
         )
         self.links.send(node, message)
 
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bilberryrail.core.ids import AttemptId, AvailabilityZoneId, NodeId
+from bilberryrail.forwarding.fingerprint import NO_FINGERPRINT, Fingerprint
 from bilberryrail.forwarding.records import (
     BackendLoad,
     ConfigVersion,
@@ -67,6 +68,8 @@
         because another target would be faster; zero if the request may wait.
     priority
         Priority of the route; the lowest number goes first.
+    fingerprint
+        Identifies the request's content.
     """
 
     attempt: AttemptId
@@ -78,6 +81,7 @@
     max_answer_s: float
     priority: int
     idempotent: bool
+    fingerprint: Fingerprint = NO_FINGERPRINT
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=3):
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -173,6 +173,7 @@
             self.backend.request_answered(work.number, now)
         else:
             self.backend.errors.failed(now)
+        self.backend.crashes.heard(now)
         request = self.backend.running.get(work.number)
         ran_s = now - request.sent_at if request else 0
         self.on_decision(
@@ -194,11 +195,16 @@
 
     def failed(self, work: Work, reason: Failure) -> None:
         """Report a request that may have run and has no answer."""
-        self.backend.errors.failed(self._now())
+        now = self._now()
+        self.backend.errors.failed(now)
+        self.backend.crashes.request_lost(work.number, now)
         self._remove(work)
         self.on_decision('failed', work, reason=reason.value)
         reply = Failed(work.origin.attempt, reason, self.load())
         self.port.reply(work.origin.node, reply)
+        if reason is Failure.RESET:
+            # Shows at once whether the backend server has ended.
+            self.port.check_health()
         self.process_queue()
 
     def not_run(self, work: Work, reason: Refusal) -> None:
@@ -319,11 +325,14 @@
             return
         self.in_flight[work.number] = work
         work.run = self.backend.run
-        self.backend.request_started(work.number, work.message.route, now)
+        self.backend.request_started(
+            work.number, work.message.route, now, work.message.fingerprint
+        )
         self.on_decision(
             'dispatch',
             work,
             instance=instance,
+            content=work.message.fingerprint.hex(),
             waited_s=round(now - work.arrived_at, 4),
             running=len(self.backend.running),
             limit=self.backend.limit(),
@@ -333,6 +342,7 @@
 
     def _drop(self, work: Work) -> None:
         if work.number in self.in_flight:
+            self.backend.crashes.request_lost(work.number, self._now())
             self._remove(work)
             self.port.abort(work)
         else:
--- a/packages/gateway/bilberryrail/gateway/decision_log.py
+++ b/packages/gateway/bilberryrail/gateway/decision_log.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from bilberryrail.forwarding.exchanges import Exchange
+from bilberryrail.forwarding.fingerprint import Fingerprint
 from bilberryrail.forwarding.load_report import Notice, NoticeSource
 from bilberryrail.forwarding.records import BackendRun
 from bilberryrail.forwarding.work_queue import Work
@@ -44,6 +45,18 @@
             source=source.value,
         )
 
+    def backend_crashed(
+        self, run: BackendRun, suspects: tuple[Fingerprint, ...]
+    ) -> None:
+        """Log and count a crash, with the requests that were in flight."""
+        self.metrics.backend_crashes.inc({})
+        self.log.process(
+            'backend_crashed',
+            instance=run.instance,
+            born_ms=run.born_ms,
+            suspects=','.join(one.hex() for one in suspects),
+        )
+
     def ingress_decided(
         self, event: str, exchange: Exchange, **fields: Any
     ) -> None:
--- a/packages/gateway/bilberryrail/gateway/frontend.py
+++ b/packages/gateway/bilberryrail/gateway/frontend.py
@@ -6,6 +6,7 @@
 
 from bilberryrail.core.ids import Seconds, ServiceId
 from bilberryrail.forwarding.exchanges import Exchange
+from bilberryrail.forwarding.fingerprint import fingerprint_of
 from bilberryrail.forwarding.ingress import Ingress, refusal_answer
 from bilberryrail.forwarding.operators import OperatorState
 from bilberryrail.forwarding.records import HttpAnswer, HttpRequest, Route
@@ -153,6 +154,7 @@
             respond=lambda answer: respond(
                 self._with_own_headers(answer, terms.request_id),
             ),
+            fingerprint=fingerprint_of(request, self.caller),
         )
 
     def _with_own_headers(
--- a/packages/gateway/bilberryrail/gateway/health_checker.py
+++ b/packages/gateway/bilberryrail/gateway/health_checker.py
@@ -100,7 +100,7 @@
         except ChannelError as error:
             result = HealthResult(is_healthy=False)
             if 'refused' in str(error).lower():
-                backend.down = True
+                backend.connection_refused()
         else:
             took_s = self.reactor.seconds() - began_at
             backend.service_time.reported_slowdown.health_check_answered(took_s)
--- a/packages/gateway/bilberryrail/gateway/metrics.py
+++ b/packages/gateway/bilberryrail/gateway/metrics.py
@@ -55,6 +55,10 @@
             'backend_notices_total',
             'Changes of what the backend server states, by source.',
         )
+        self.backend_crashes = self._counter(
+            'backend_crashes_total',
+            'Unannounced ends of the backend server with requests in flight.',
+        )
         self.rate_limit = self._gauge(
             'backend_rate_limit',
             'Requests per second that the backend server accepts.',
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -169,6 +169,7 @@
         self.decisions = DecisionLog(self.reactor, self.log, self.metrics)
         self.target.on_decision = self.decisions.target_decided
         self.target.on_notice = self._notice_changed
+        self.backend.crashes.on_crashed = self.decisions.backend_crashed
         self.ingress.on_decision = self.decisions.ingress_decided
         self.ingress.on_finished = self.decisions.request_finished
 
