--- a/packages/forwarding/bilberryrail/forwarding/fleet_harness_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/fleet_harness_test.py
@@ -9,10 +9,11 @@
 
 from twisted.internet.task import Clock
 
-from bilberryrail.core.ids import NodeId, Seconds
+from bilberryrail.core.ids import NodeId, Seconds, ServiceId
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.exchanges import Exchange
+from bilberryrail.forwarding.fingerprint import fingerprint_of
 from bilberryrail.forwarding.fixtures_test import (
     BOARD,
     RULES,
@@ -31,18 +32,31 @@
 from bilberryrail.forwarding.records import (
     BackendPhase,
     ConfigVersion,
+    Failure,
     HttpAnswer,
     InstanceId,
+    Refusal,
 )
 from bilberryrail.forwarding.selection import CandidateTable
 from bilberryrail.forwarding.target import Target
 
+#: Service from which all requests come.
+DESK = ServiceId('desk')
+
 #: Delay of each message between nodes, in seconds.
 HOP_S = 0.001
 HEALTH_CHECK_S = 0.2
 STEP_S = 0.005
 
 
+#: Time from the start of a request that crashes its backend server to the crash,
+#: and from the crash until the server is back, in seconds.
+CRASH_AFTER_S = 0.04
+RESTART_S = 3.0
+#: Start of the bodies of requests that crash each backend server that runs them.
+CRASHING = b'crash'
+
+
 class BackendServer:
     """A backend server that states a notice in each answer.
 
@@ -50,6 +64,10 @@
     ----------
     arrivals
         Time and ingress node of each request that it got.
+    bodies
+        Time and body of each request that it got.
+    crashes
+        Time of each crash, and the body of the request that caused it.
     """
 
     def __init__(self, clock, name, *, slots=18, work_s=0.16):
@@ -59,7 +77,16 @@
         self.work_s = work_s
         self.born_ms = 100
         self.notice = Notice()
+        self.is_up = True
         self.arrivals = []
+        self.bodies = []
+        self.crashes = []
+
+    def restart(self):
+        """Start again as another instance."""
+        self.is_up = True
+        self.born_ms += 1
+        self.instance = InstanceId(f'{self.instance}+')
 
 
 class TargetNode:
@@ -75,32 +102,74 @@
         self.backend.rules = RULES
         self.target = Target(SETTINGS, fleet.clock, self.backend, self)
         self.target.on_notice = lambda *_: fleet.announce(self)
-        self.target.backend.heartbeat_received(
+        self.send_heartbeat()
+        self.check_health()
+
+    def send_heartbeat(self):
+        """Let the backend server announce its present run."""
+        self.backend.heartbeat_received(
             Heartbeat(
-                instance=server.instance,
+                instance=self.server.instance,
                 service=BOARD,
                 address='10.0.0.1:80',
                 phase=BackendPhase.READY,
-                slots=server.slots,
-                born_ms=server.born_ms,
+                slots=self.server.slots,
+                born_ms=self.server.born_ms,
                 sequence=1,
             ),
-            fleet.now(),
+            self.fleet.now(),
         )
-        self.check_health()
 
     def check_health(self):
         """Report a warm backend server; its health checks state no notice."""
-        if self.is_running:
-            self.backend.health_checked(
-                HealthResult(is_healthy=True, cold_s=0.0), self.fleet.now()
-            )
+        if not self.is_running:
+            return
+        is_healthy = self.server.is_up
+        if not is_healthy:
+            self.backend.connection_refused()
+        self.backend.health_checked(
+            HealthResult(
+                is_healthy=is_healthy, cold_s=0.0 if is_healthy else None
+            ),
+            self.fleet.now(),
+        )
 
     def dispatch(self, work, instance):
-        self.server.arrivals.append((self.fleet.now(), work.origin.node))
-        self.fleet.clock.callLater(self.server.work_s, self.finish, work)
+        now = self.fleet.now()
+        if not self.server.is_up:
+            self.target.not_run(work, Refusal.CONNECT_FAILED)
+            return
+        body = work.message.request.body
+        self.server.arrivals.append((now, work.origin.node))
+        self.server.bodies.append((now, body))
+        run = self.server.instance
+        if body.startswith(CRASHING):
+            self.fleet.clock.callLater(CRASH_AFTER_S, self.crash, run, body)
+        else:
+            self.fleet.clock.callLater(
+                self.server.work_s, self.finish, work, run
+            )
 
-    def finish(self, work):
+    def crash(self, run, body=b''):
+        """End a run of the backend server; it is back later."""
+        if self.server.instance != run or not self.server.is_up:
+            return
+        self.server.is_up = False
+        self.server.crashes.append((self.fleet.now(), body))
+        self.fleet.clock.callLater(RESTART_S, self.restart)
+        for work in tuple(self.target.in_flight.values()):
+            self.target.failed(work, Failure.RESET)
+
+    def restart(self):
+        self.server.restart()
+        if self.is_running:
+            self.send_heartbeat()
+            self.fleet.announce(self)
+
+    def finish(self, work, run):
+        is_same_run = self.server.is_up and self.server.instance == run
+        if not is_same_run:
+            return
         if self.is_running and work.number in self.target.in_flight:
             self.target.notice_received(
                 self.server.notice, work.run, NoticeSource.ANSWER
@@ -124,6 +193,8 @@
     ----------
     statuses
         Number of answers to clients by status.
+    harmless_statuses
+        The same for requests that crash no backend server.
     refused_after_s
         Time after which each refused request was refused, in seconds.
     """
@@ -133,6 +204,7 @@
         self.clock.advance(1000)
         self.random = Random(5)
         self.statuses = Counter()
+        self.harmless_statuses = Counter()
         self.refused_after_s = []
         self.request_ids = itertools.count(1)
         self.targets = {}
@@ -188,24 +260,28 @@
         links = OutgoingLinks(self, name)
         return Ingress(SETTINGS, self.clock, self.random, candidates, links)
 
-    def arrive(self, name, **terms):
+    def arrive(self, name, body=b'', **terms):
         """Let a client send a request to an ingress node."""
         found = route(**({'timeout_s': 4.0} | terms))
         now = self.now()
+        sent = request(body)
         exchange = Exchange(
-            request=request(),
+            request=sent,
             request_id=f'q{next(self.request_ids)}',
             route=found,
             service=BOARD,
             version=ConfigVersion(1),
             arrived_at=now,
             expires_at=Seconds(now + found.timeout_s),
-            respond=partial(self.count_answer, now),
+            respond=partial(self.count_answer, now, body),
+            fingerprint=fingerprint_of(sent, DESK),
         )
         self.ingresses[name].serve(exchange)
 
-    def count_answer(self, arrived_at, answer):
+    def count_answer(self, arrived_at, body, answer):
         self.statuses[int(answer.status)] += 1
+        if not body.startswith(CRASHING):
+            self.harmless_statuses[int(answer.status)] += 1
         if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
             self.refused_after_s.append(self.now() - arrived_at)
 
