Quarantine requests that crash backend servers

Cause: a lost request was forgotten with its exchange. No node connected the end of a backend server with the requests that were in flight there, so each node sent the same request to each backend server that came back.

Each node now announces the crashes of its backend server with the fingerprints of the requests in flight. A request that is suspected of three crashes, at least one of which no other request explains, is refused as not run: by the ingress, and by the target if its ingress does not know yet. After one crash it gets no retries. An answer clears a request of earlier crashes, on all nodes. A request that was answered before is tried again by one node after 5, 40 and 320 s, in case all its crashes had another cause. The store keeps announcements while all processes are down, and Hello tells a restarted node what is quarantined.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -6,16 +6,17 @@
 from bilberryrail.core.ids import Seconds, ServiceId
 from bilberryrail.forwarding.cold import ColdLimiter
 from bilberryrail.forwarding.crash_watch import CrashWatch, RunningRequest
-from bilberryrail.forwarding.fingerprint import NO_FINGERPRINT, Fingerprint
 from bilberryrail.forwarding.load_report import (
     HealthResult,
     Heartbeat,
     LoadReport,
 )
 from bilberryrail.forwarding.records import (
+    NO_FINGERPRINT,
     BackendLoad,
     BackendPhase,
     BackendRun,
+    Fingerprint,
     InstanceId,
     RouteId,
     ServiceRules,
--- a/packages/forwarding/bilberryrail/forwarding/crash_watch.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_watch.py
@@ -6,8 +6,12 @@
 from typing import Final
 
 from bilberryrail.core.ids import Seconds
-from bilberryrail.forwarding.fingerprint import NO_FINGERPRINT, Fingerprint
-from bilberryrail.forwarding.records import BackendRun, RouteId
+from bilberryrail.forwarding.records import (
+    NO_FINGERPRINT,
+    BackendRun,
+    Fingerprint,
+    RouteId,
+)
 from bilberryrail.forwarding.run_statements import RunStatements
 from bilberryrail.forwarding.service_time import Start
 
@@ -18,7 +22,7 @@
 
 #: Largest number of suspects of one crash. It is more than the requests that run
 #: at once; the most recent ones count if many were lost in a silent crash.
-MAX_SUSPECTS: Final = 32
+MAX_SUSPECTS: Final = 64
 
 OnCrashed = Callable[[BackendRun, tuple[Fingerprint, ...]], None]
 
--- a/packages/forwarding/bilberryrail/forwarding/crash_watch_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_watch_test.py
@@ -4,12 +4,13 @@
 
 from bilberryrail.core.ids import Seconds
 from bilberryrail.forwarding.backend import Backend
-from bilberryrail.forwarding.fingerprint import NO_FINGERPRINT, Fingerprint
 from bilberryrail.forwarding.fixtures_test import BOARD, SETTINGS
 from bilberryrail.forwarding.load_report import HealthResult, Heartbeat
 from bilberryrail.forwarding.records import (
+    NO_FINGERPRINT,
     BackendPhase,
     BackendRun,
+    Fingerprint,
     InstanceId,
     RouteId,
 )
--- a/packages/forwarding/bilberryrail/forwarding/exchanges.py
+++ b/packages/forwarding/bilberryrail/forwarding/exchanges.py
@@ -6,9 +6,10 @@
 
 from bilberryrail.core.ids import AttemptId, NodeId, Seconds, ServiceId
 from bilberryrail.forwarding.candidates import Candidate
-from bilberryrail.forwarding.fingerprint import NO_FINGERPRINT, Fingerprint
 from bilberryrail.forwarding.records import (
+    NO_FINGERPRINT,
     ConfigVersion,
+    Fingerprint,
     HttpAnswer,
     HttpRequest,
     Route,
@@ -38,6 +39,8 @@
         Sends the answer to the client.
     excluded
         Nodes that cannot run the request, or that it was sent to.
+    is_trial
+        Whether it is sent although its content is quarantined.
     busy
         Nodes that refused the request because they were busy or slow.
     reached
@@ -59,6 +62,7 @@
     expires_at: Seconds
     respond: Callable[[HttpAnswer], None]
     fingerprint: Fingerprint = NO_FINGERPRINT
+    is_trial: bool = False
     attempts: dict[AttemptId, Attempt] = field(default_factory=dict)
     excluded: set[NodeId] = field(default_factory=set)
     busy: set[NodeId] = field(default_factory=set)
--- a/packages/forwarding/bilberryrail/forwarding/fingerprint.py
+++ b/packages/forwarding/bilberryrail/forwarding/fingerprint.py
@@ -1,16 +1,10 @@
 """Fingerprints of requests, which are equal for equal content."""
 
 from hashlib import blake2b
-from typing import Final, NewType
+from typing import Final
 
 from bilberryrail.core.ids import ServiceId
-from bilberryrail.forwarding.records import HttpRequest
-
-#: Identifies all requests with the same method, host, target, caller and body.
-Fingerprint = NewType('Fingerprint', bytes)
-
-#: Fingerprint of a request whose sender has stated none. It is never recorded.
-NO_FINGERPRINT: Final = Fingerprint(b'')
+from bilberryrail.forwarding.records import Fingerprint, HttpRequest
 
 #: Size of a fingerprint, in bytes; a collision is improbable among the requests
 #: of years.
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import Any, Final, Protocol
 
-from bilberryrail.core.ids import AttemptId, NodeId, Seconds
+from bilberryrail.core.ids import AttemptId, NodeId, RegionId, Seconds
 from bilberryrail.forwarding.exchanges import (
     Attempt,
     AttemptTable,
@@ -20,6 +20,7 @@
     Forward,
     Refused,
 )
+from bilberryrail.forwarding.quarantine import Permission, Quarantine
 from bilberryrail.forwarding.records import (
     REACHED_BACKEND,
     BackendLoad,
@@ -90,6 +91,8 @@
         Targets that requests can be sent to.
     links
         Sends messages to targets.
+    quarantine
+        Decides which requests may be sent.
 
     Attributes
     ----------
@@ -108,12 +111,14 @@
         random: Random,
         candidates: CandidateTable,
         links: TargetLinks,
+        quarantine: Quarantine,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.random = random
         self.candidates = candidates
         self.links = links
+        self.quarantine = quarantine
         self.retry_budget = RetryBudget(settings.repeats)
         self.exchanges: set[Exchange] = set()
         self.attempts = AttemptTable(candidates)
@@ -130,8 +135,13 @@
         return not self.exchanges
 
     def serve(self, exchange: Exchange) -> None:
-        """Start to serve a request."""
+        """Start to serve a request, or refuse it if it is quarantined."""
         self.exchanges.add(exchange)
+        permission = self.quarantine.permission(exchange.fingerprint)
+        if permission is Permission.QUARANTINED:
+            self._refuse_quarantined(exchange)
+            return
+        exchange.is_trial = permission is Permission.TRIAL
         self.retry_budget.deposit(exchange.service)
         left_s = max(0, exchange.expires_at - self._now())
         expiry = self.clock.callLater(left_s, self._expire, exchange)
@@ -171,6 +181,9 @@
         )
         if exchange.attempts:
             return
+        if reply.reason is Refusal.QUARANTINED:
+            self._refuse_quarantined(exchange)
+            return
         if exchange.late_refusals >= _MAX_LATE_REFUSALS:
             self._give_up(exchange, 'late')
             return
@@ -192,6 +205,8 @@
         )
         exchange.reached.add(node)
         status = reply.answer.status
+        if status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            self.quarantine.answered(exchange.fingerprint)
         is_error = status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if is_error and exchange.route.idempotent:
             exchange.last_answer = reply.answer
@@ -314,10 +329,11 @@
             request=exchange.request,
             remaining_s=max(0, exchange.expires_at - now),
             target_latency_left_s=exchange.target_latency_left_s(now),
-            max_answer_s=self._max_answer_s(exchange, choice),
+            max_answer_s=_max_answer_s(exchange, choice, self.settings.region),
             priority=exchange.route.priority,
             idempotent=exchange.route.idempotent,
             fingerprint=exchange.fingerprint,
+            is_trial=exchange.is_trial,
         )
         self.links.send(node, message)
 
@@ -339,28 +355,30 @@
         if self._withdraw_retry(exchange):
             self._send(exchange, choice, now, is_retry=True)
 
-    def _max_answer_s(self, exchange: Exchange, choice: Choice) -> float:
-        """Return the expected time above which the target refuses the request.
-
-        Zero means that there is no limit, so the request waits at the target.
-        That is so for targets in other regions: how loaded other targets there
-        are is not known here, and each further attempt sends the body over the
-        link between regions again.
-        """
-        is_far = choice.candidate.peer.region != self.settings.region
-        if is_far or len(exchange.busy) >= _MAX_BUSY_REFUSALS:
-            return 0
-        return choice.next_best_s * MAX_ANSWER_FACTOR
-
     def _withdraw_retry(self, exchange: Exchange) -> bool:
         """Withdraw one retry; return whether the request may be sent again.
 
-        It may not if the route's attempts or the retry budget are used up.
+        It may not if the route's attempts or the retry budget are used up, or
+        if it may have crashed a backend server before.
         """
+        if self.quarantine.is_suspect(exchange.fingerprint):
+            return False
         if len(exchange.reached) >= exchange.route.max_attempts:
             return False
         return self.retry_budget.try_withdraw(exchange.service, self._now())
 
+    def _refuse_quarantined(self, exchange: Exchange) -> None:
+        """Refuse a request that crashes backend servers."""
+        ledger = self.quarantine.ledger
+        self.on_decision(
+            'quarantined',
+            exchange,
+            content=exchange.fingerprint.hex(),
+            crashes=ledger.strikes(exchange.fingerprint),
+        )
+        exchange.retry_after_s = ledger.remaining_s(exchange.fingerprint)
+        self._give_up(exchange, 'quarantined')
+
     def _expire(self, exchange: Exchange) -> None:
         """Answer at the deadline or at the time limit of the route."""
         if exchange.is_over:
@@ -420,6 +438,22 @@
             self.links.send(attempt.node, Cancel(attempt.attempt))
 
 
+def _max_answer_s(
+    exchange: Exchange, choice: Choice, own_region: RegionId
+) -> float:
+    """Return the expected time above which the target refuses the request.
+
+    Zero means that there is no limit, so the request waits at the target. That
+    is so for targets in other regions: how loaded other targets there are is
+    not known here, and each further attempt sends the body over the link between
+    regions again.
+    """
+    is_far = choice.candidate.peer.region != own_region
+    if is_far or len(exchange.busy) >= _MAX_BUSY_REFUSALS:
+        return 0
+    return choice.next_best_s * MAX_ANSWER_FACTOR
+
+
 def refusal_answer(retry_after_s: float, random: Random) -> HttpAnswer:
     """Build the answer to a request that has not run.
 
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -8,11 +8,13 @@
 import msgspec
 
 from bilberryrail.core.ids import AttemptId, AvailabilityZoneId, NodeId
-from bilberryrail.forwarding.fingerprint import NO_FINGERPRINT, Fingerprint
 from bilberryrail.forwarding.records import (
+    NO_FINGERPRINT,
     BackendLoad,
     ConfigVersion,
+    CrashRecord,
     Failure,
+    Fingerprint,
     HttpAnswer,
     HttpRequest,
     Peer,
@@ -38,12 +40,15 @@
     known
         What the sender knows that the backend server of the expected node has
         stated; None if it has stated nothing that matters.
+    crashes
+        Crashes for which the sender has requests in quarantine.
     """
 
     peer: Peer
     expected: NodeId
     accepts_compression: bool = False
     known: KnownRun | None = None
+    crashes: tuple[CrashRecord, ...] = ()
 
 
 class Announce(msgspec.Struct, array_like=True, tag=1):
@@ -70,6 +75,8 @@
         Priority of the route; the lowest number goes first.
     fingerprint
         Identifies the request's content.
+    is_trial
+        Whether it is sent although it is quarantined.
     """
 
     attempt: AttemptId
@@ -82,6 +89,7 @@
     priority: int
     idempotent: bool
     fingerprint: Fingerprint = NO_FINGERPRINT
+    is_trial: bool = False
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=3):
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NewType
+from typing import Final, NewType
 
 from bilberryrail.core.ids import (
     AvailabilityZoneId,
@@ -18,6 +18,12 @@
 #: Identifies a backend server instance. A restart may keep the id.
 InstanceId = NewType('InstanceId', str)
 
+#: Identifies all requests with the same method, host, target, caller and body.
+Fingerprint = NewType('Fingerprint', bytes)
+
+#: Fingerprint of a request whose sender has stated none. It is never recorded.
+NO_FINGERPRINT: Final = Fingerprint(b'')
+
 #: Version of a traffic configuration; later ones have higher numbers.
 ConfigVersion = NewType('ConfigVersion', int)
 
@@ -155,6 +161,37 @@
     DRAINING = 'draining'
 
 
+@dataclass(frozen=True, slots=True)
+class CrashRecord:
+    """An unannounced end of a backend server.
+
+    Attributes
+    ----------
+    at_ms
+        Unix time at which its node noticed it, in milliseconds.
+    suspects
+        Requests that were in flight.
+    """
+
+    run: BackendRun
+    at_ms: int
+    suspects: tuple[Fingerprint, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Clearance:
+    """A suspected request was answered, so it crashes no backend server.
+
+    Attributes
+    ----------
+    at_ms
+        Unix time of the answer, in milliseconds.
+    """
+
+    fingerprint: Fingerprint
+    at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Peer:
     """A node, as it announces itself to the others.
@@ -174,6 +211,10 @@
         not known.
     departed
         Whether the backend server has announced or stated that it leaves.
+    crashes
+        Recent crashes of the backend servers beside the node, oldest first.
+    clearances
+        Recent answers to suspected requests of clients of the node.
     """
 
     node: NodeId
@@ -190,6 +231,8 @@
     leaving: bool = False
     born_ms: int = 0
     departed: bool = False
+    crashes: tuple[CrashRecord, ...] = ()
+    clearances: tuple[Clearance, ...] = ()
 
     @property
     def run(self) -> BackendRun:
@@ -267,6 +310,8 @@
     SHED = 'shed'
     OTHER_INSTANCE = 'other-instance'
     CONNECT_FAILED = 'connect-failed'
+    #: The request crashes backend servers.
+    QUARANTINED = 'quarantined'
     LINK_DOWN = 'link-down'
 
 
--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -70,6 +70,28 @@
     least_s: float = 0.03
 
 
+class QuarantineSettings(msgspec.Struct, frozen=True):
+    """Quarantine of requests that crash backend servers.
+
+    Attributes
+    ----------
+    crashes
+        Number of crashes after which a request is quarantined.
+    memory_s
+        Time for which a crash is remembered, in seconds.
+    trial_s
+        Time after the last crash until a quarantined request that was answered
+        before is tried again, in seconds.
+    trial_factor
+        Factor by which that time grows with each trial.
+    """
+
+    crashes: int = 3
+    memory_s: float = 600.0
+    trial_s: float = 5.0
+    trial_factor: float = 8.0
+
+
 class ForwardingSettings(msgspec.Struct, frozen=True):
     """Identity of the node and settings of all its decisions."""
 
@@ -81,3 +103,4 @@
     admission: AdmissionSettings = AdmissionSettings()
     hedge: HedgeSettings = HedgeSettings()
     repeats: RetryBudgetSettings = RetryBudgetSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -9,6 +9,7 @@
 from bilberryrail.forwarding.admission import Admission
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.coalescing_timer import CoalescingTimer
+from bilberryrail.forwarding.crash_ledger import CrashLedger
 from bilberryrail.forwarding.load_report import Notice, NoticeSource
 from bilberryrail.forwarding.messages import (
     Answered,
@@ -71,6 +72,8 @@
     ----------
     clock
         The reactor or a test clock, for the time and for timers.
+    ledger
+        Knows which requests crash backend servers.
 
     Attributes
     ----------
@@ -97,11 +100,13 @@
         clock: Any,
         backend: Backend,
         port: TargetPort,
+        ledger: CrashLedger,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.backend = backend
         self.port = port
+        self.ledger = ledger
         self.queue = WorkQueue()
         self.paused = PausedWork(clock, port.check_health, self.process_queue)
         self.capacity = TargetCapacity(backend)
@@ -146,6 +151,8 @@
             expires_at=Seconds(now + message.remaining_s),
         )
         reason = self.capacity.refusal_reason(now)
+        if _is_quarantined(work, self.ledger):
+            reason = Refusal.QUARANTINED
         if reason is not None:
             self._refuse(work, reason, UNKNOWN_WAIT_S)
             return
@@ -236,11 +243,16 @@
     def process_queue(self) -> None:
         """Send queued requests while slots are free; refuse expired ones.
 
-        It is called whenever capacity or availability may have changed. If this
-        target no longer accepts requests, it refuses all that are queued or
-        paused.
+        It is called whenever capacity, availability or the quarantine may have
+        changed. If this target no longer accepts requests, it refuses all that
+        are queued or paused.
         """
         now = self._now()
+        for waiting in (*self.queue, *self.paused.work):
+            if _is_quarantined(waiting, self.ledger):
+                self.queue.cancel(waiting)
+                self.paused.cancel(waiting)
+                self._refuse(waiting, Refusal.QUARANTINED, UNKNOWN_WAIT_S)
         reason = self.capacity.refusal_reason(now)
         if reason is not None:
             for work in (*self.queue, *self.paused.release_all()):
@@ -372,6 +384,12 @@
         self.port.reply(work.origin.node, reply)
 
 
+def _is_quarantined(work: Work, ledger: CrashLedger) -> bool:
+    """Return whether a request must not be sent, unless it is a trial."""
+    fingerprint = work.message.fingerprint
+    return not work.message.is_trial and ledger.is_quarantined(fingerprint)
+
+
 def _ignore(event: str, work: Work, **fields: object) -> None:
     """Discard a decision; used until a log is attached."""
 
--- a/packages/gateway/bilberryrail/gateway/decision_log.py
+++ b/packages/gateway/bilberryrail/gateway/decision_log.py
@@ -3,9 +3,8 @@
 from typing import Any
 
 from bilberryrail.forwarding.exchanges import Exchange
-from bilberryrail.forwarding.fingerprint import Fingerprint
 from bilberryrail.forwarding.load_report import Notice, NoticeSource
-from bilberryrail.forwarding.records import BackendRun
+from bilberryrail.forwarding.records import BackendRun, Fingerprint
 from bilberryrail.forwarding.work_queue import Work
 from bilberryrail.gateway.event_log import EventLog
 from bilberryrail.gateway.metrics import Metrics
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -23,7 +23,7 @@
 
 #: Largest Hello, in bytes. It is the only message that is read from a peer that
 #: has not identified itself.
-MAX_HELLO_BYTES: Final = 16_384
+MAX_HELLO_BYTES: Final = 65_536
 
 #: Timeout for the exchange of Hello, in seconds.
 HELLO_TIMEOUT_S: Final = 1.0
--- a/packages/gateway/bilberryrail/gateway/message_router.py
+++ b/packages/gateway/bilberryrail/gateway/message_router.py
@@ -107,6 +107,7 @@
             expected,
             accepts_compression=True,
             known=self.presence.candidates.runs.by_node.get(expected),
+            crashes=self.ports.target.ledger.evidence(),
         )
 
     def received(self, link: Link, message: messages.Message) -> None:
@@ -125,9 +126,10 @@
                 link.send(messages.Pong(self.ports.target.load()))
             case messages.Announce(peer=peer):
                 self.presence.announcement_received(link.peer, peer)
-            case messages.Hello(peer=peer, known=known):
+            case messages.Hello(peer=peer, known=known, crashes=crashes):
                 self.presence.merge_announcements([peer])
                 self._recall(known)
+                self.presence.on_crashes(crashes, ())
             case messages.Nodes(peers=peers):
                 self.presence.merge_announcements(peers)
             case messages.Progress():
--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -18,7 +18,13 @@
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.ingress import Ingress
 from bilberryrail.forwarding.membership import Membership
-from bilberryrail.forwarding.records import BackendPhase, InstanceId, Peer
+from bilberryrail.forwarding.records import (
+    BackendPhase,
+    Clearance,
+    CrashRecord,
+    InstanceId,
+    Peer,
+)
 from bilberryrail.gateway.links import Links
 from bilberryrail.gateway.settings import GatewaySettings, parse_address
 
@@ -34,6 +40,13 @@
 #: seconds.
 _MIN_START_STEP_MS: Final = 1000
 
+_OnCrashes = Callable[[tuple[CrashRecord, ...], tuple[Clearance, ...]], None]
+
+
+def wall_ms() -> int:
+    """Return the Unix time in milliseconds."""
+    return int(time.time() * _MS_PER_S)
+
 
 def initial_announcement(settings: GatewaySettings, random: Random) -> Peer:
     """Build the announcement of a node that has just started."""
@@ -42,7 +55,7 @@
     return Peer(
         node=settings.node,
         incarnation=Incarnation(random.getrandbits(_INCARNATION_BITS)),
-        started_ms=int(time.time() * _MS_PER_S),
+        started_ms=wall_ms(),
         serial=0,
         host=links.host,
         port=links.port,
@@ -64,6 +77,10 @@
     store_announcement
         Writes this node's announcement to the store; the Deferred fires when
         the store has acknowledged it.
+    on_crashes
+        Called with the crashes and clearances that other nodes tell.
+    on_own_crashes
+        Called with those that this node's earlier process has announced.
     """
 
     def __init__(
@@ -86,6 +103,8 @@
         self.log = log
         self.is_leaving = False
         self.store_announcement: Callable[[], Deferred[bool]] | None = None
+        self.on_crashes: _OnCrashes = _ignore
+        self.on_own_crashes: _OnCrashes = _ignore
 
     def refresh(self) -> 'Deferred[bool] | None':
         """Announce the state of this node's backend server if it has changed.
@@ -127,6 +146,22 @@
             return self.store_announcement()
         return None
 
+    def announce_crashes(
+        self,
+        crashes: tuple[CrashRecord, ...],
+        clearances: tuple[Clearance, ...],
+    ) -> None:
+        """Announce what this node has observed of crashes."""
+        own = self.membership.own
+        self._announce(
+            replace(
+                own,
+                serial=own.serial + 1,
+                crashes=crashes,
+                clearances=clearances,
+            )
+        )
+
     def announcement_received(self, sender: Peer, announced: Peer) -> None:
         """Merge an announcement; relay it if it came from another region.
 
@@ -145,11 +180,13 @@
         changed = self.membership.merge(peers)
         for announced in changed:
             self.candidates.runs.announced(announced)
+            self.on_crashes(announced.crashes, announced.clearances)
         for peer in peers:
             is_own = peer.node == self.membership.own.node
             if is_own and peer.incarnation != self.membership.own.incarnation:
                 self._supersede(peer)
                 self._restore_departure(peer)
+                self.on_own_crashes(peer.crashes, peer.clearances)
         if changed:
             self.apply_membership()
         for found in changed:
@@ -226,6 +263,12 @@
             self.refresh()
 
 
+def _ignore(
+    crashes: tuple[CrashRecord, ...], clearances: tuple[Clearance, ...]
+) -> None:
+    """Discard what is known of crashes; used until a receiver is attached."""
+
+
 def _is_same_state(own: Peer, announced: Peer) -> bool:
     """Return whether other nodes need not learn of an announcement."""
     same_run = replace(announced, serial=own.serial, born_ms=own.born_ms)
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -6,17 +6,24 @@
 from typing import Any, Final
 
 from bilberryrail.forwarding.backend import Backend
+from bilberryrail.forwarding.crash_ledger import CrashLedger
 from bilberryrail.forwarding.ingress import Ingress
 from bilberryrail.forwarding.load_report import Notice, NoticeSource
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.operators import OperatorState
-from bilberryrail.forwarding.records import BackendRun, ClientLimits
+from bilberryrail.forwarding.quarantine import Quarantine
+from bilberryrail.forwarding.records import (
+    BackendRun,
+    ClientLimits,
+    Fingerprint,
+)
 from bilberryrail.forwarding.routes import SplitChooser
 from bilberryrail.forwarding.selection import CandidateTable
 from bilberryrail.forwarding.target import Target
 from bilberryrail.gateway.announcer import Announcer
 from bilberryrail.gateway.backend_pool import BackendPool
 from bilberryrail.gateway.control import ControlService, ReadyService
+from bilberryrail.gateway.crash_reports import CrashReports
 from bilberryrail.gateway.decision_log import DecisionLog
 from bilberryrail.gateway.dialect import Dialect
 from bilberryrail.gateway.early_port import BACKLOG, EarlyPort
@@ -29,7 +36,11 @@
 from bilberryrail.gateway.links import Links
 from bilberryrail.gateway.message_router import LinkEventHandler, RolePorts
 from bilberryrail.gateway.metrics import Metrics, MetricsService
-from bilberryrail.gateway.presence import Presence, initial_announcement
+from bilberryrail.gateway.presence import (
+    Presence,
+    initial_announcement,
+    wall_ms,
+)
 from bilberryrail.gateway.reader_selection import ReaderSelection
 from bilberryrail.gateway.settings import GatewaySettings, parse_address
 from bilberryrail.gateway.settings_watch import SettingsWatch
@@ -155,13 +166,21 @@
             ClientLimits().body_bytes,
         )
         self.ports = RolePorts(settings.node, self.pool)
-        self.target = Target(forwarding, self.reactor, self.backend, self.ports)
+        self.crash_ledger = CrashLedger(forwarding.quarantine, wall_ms)
+        self.target = Target(
+            forwarding,
+            self.reactor,
+            self.backend,
+            self.ports,
+            self.crash_ledger,
+        )
         self.ingress = Ingress(
             forwarding,
             self.reactor,
             self.random,
             CandidateTable(forwarding, self.random),
             self.ports,
+            Quarantine(self.crash_ledger),
         )
         self.pool.target = self.target
         self.ports.target = self.target
@@ -169,7 +188,7 @@
         self.decisions = DecisionLog(self.reactor, self.log, self.metrics)
         self.target.on_decision = self.decisions.target_decided
         self.target.on_notice = self._notice_changed
-        self.backend.crashes.on_crashed = self.decisions.backend_crashed
+        self.backend.crashes.on_crashed = self._backend_crashed
         self.ingress.on_decision = self.decisions.ingress_decided
         self.ingress.on_finished = self.decisions.request_finished
 
@@ -197,6 +216,9 @@
             self.backend,
             self.log.process,
         )
+        self.crash_reports = CrashReports(
+            self.presence, self.ingress.quarantine, self.target
+        )
         self.reader_selection = ReaderSelection(
             self.reactor, self.membership, self.links
         )
@@ -321,6 +343,12 @@
         if notice.is_leaving:
             self.backend_changed()
 
+    def _backend_crashed(
+        self, run: BackendRun, suspects: tuple[Fingerprint, ...]
+    ) -> None:
+        self.decisions.backend_crashed(run, suspects)
+        self.crash_reports.backend_crashed(run, suspects)
+
     def _update_rules(self) -> None:
         config = self.operators.config
         if config is not None:
