Count crashes half for requests that were answered shortly before

With several crashing requests at once, a harmless request that all clients send is in flight at three crashes within a second, before an answer clears it. It was then refused until its trial, 5 s later.

A crash record now names the suspects that the node had read an answer to in the last 10 s, and such a crash counts half for them. A request that becomes harmful is quarantined after six crashes at the latest.

--- a/packages/forwarding/bilberryrail/forwarding/crash_ledger.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_ledger.py
@@ -20,6 +20,10 @@
 
 _MS_PER_S: Final = 1000
 
+#: Weight of a crash for a request that was answered shortly before. It is more
+#: probably harmless than one that was never answered, but may have become harmful.
+_ANSWERED_WEIGHT: Final = 0.5
+
 #: Time of a clearance before all crashes, in milliseconds.
 _NEVER_MS: Final = -1
 
@@ -166,7 +170,7 @@
     suspects = {
         suspect: crashes
         for suspect, crashes in strikes.items()
-        if len(crashes) >= min_crashes
+        if _weight(suspect, crashes) >= min_crashes
     }
     found: set[Fingerprint] = set()
     explained: set[CrashRecord] = set()
@@ -181,3 +185,10 @@
         blamed = [one for one, count in counts.items() if count == most]
         found.update(blamed)
         explained.update(*(suspects[one] for one in blamed))
+
+
+def _weight(suspect: Fingerprint, crashes: Iterable[CrashRecord]) -> float:
+    return sum(
+        _ANSWERED_WEIGHT if suspect in crash.answered else 1
+        for crash in crashes
+    )
--- a/packages/forwarding/bilberryrail/forwarding/crash_ledger_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_ledger_test.py
@@ -124,3 +124,19 @@
     bench.crash(600, OTHER)
     assert len(bench.ledger.crashes) == 512
     assert bench.ledger.strikes(OTHER) == 1
+
+
+def test_request_that_was_answered_before_needs_twice_as_many_crashes(bench):
+    # Guards against refusing a harmless request that is in flight all the time,
+    # when several crashing requests come within a second.
+    for number in range(1, 7):
+        run = BackendRun(InstanceId(f'i{number}'), number)
+        bench.now_ms += 1
+        bench.ledger.merge(
+            (
+                CrashRecord(
+                    run, bench.now_ms, (BYSTANDER,), answered=(BYSTANDER,)
+                ),
+            )
+        )
+        assert bench.ledger.is_quarantined(BYSTANDER) == (number == 6)
--- a/packages/forwarding/bilberryrail/forwarding/fleet_harness_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/fleet_harness_test.py
@@ -37,7 +37,6 @@
 from bilberryrail.forwarding.records import (
     BackendPhase,
     ConfigVersion,
-    CrashRecord,
     Failure,
     HttpAnswer,
     InstanceId,
@@ -109,8 +108,10 @@
         self.backend = Backend(SETTINGS.admission)
         self.backend.rules = RULES
         self.ledger = CrashLedger(SETTINGS.quarantine, fleet.wall_ms)
+        self.quarantine = Quarantine(self.ledger)
+        self.quarantine.on_cleared = partial(fleet.clear, name)
         self.target = Target(
-            SETTINGS, fleet.clock, self.backend, self, self.ledger
+            SETTINGS, fleet.clock, self.backend, self, self.quarantine
         )
         self.crashes = ()
         self.backend.crashes.on_crashed = self.report_crash
@@ -178,7 +179,7 @@
 
     def report_crash(self, run, suspects):
         """Announce a crash, and remember it."""
-        record = CrashRecord(run, self.fleet.wall_ms(), suspects)
+        record = self.quarantine.make_record(run, suspects)
         self.crashes = (*self.crashes, record)
         self.ledger.merge(self.crashes)
         self.fleet.announce(self)
--- a/packages/forwarding/bilberryrail/forwarding/quarantine.py
+++ b/packages/forwarding/bilberryrail/forwarding/quarantine.py
@@ -11,7 +11,9 @@
 from bilberryrail.forwarding.crash_ledger import CrashLedger
 from bilberryrail.forwarding.records import (
     NO_FINGERPRINT,
+    BackendRun,
     Clearance,
+    CrashRecord,
     Fingerprint,
 )
 
@@ -23,6 +25,10 @@
 #: has consequences at nodes that have not read an answer since.
 _MIN_STRIKES_TO_TELL: Final = 2
 
+#: Time for which an answer makes it less probable that a request causes a crash,
+#: in seconds.
+RECENTLY_ANSWERED_S: Final = 10.0
+
 _MS_PER_S: Final = 1000
 
 
@@ -103,6 +109,19 @@
             self.ledger.merge((), (clearance,))
             self.on_cleared(clearance)
 
+    def make_record(
+        self, run: BackendRun, suspects: tuple[Fingerprint, ...]
+    ) -> CrashRecord:
+        """Record a crash that happens now."""
+        now_ms = self.ledger.wall_ms()
+        since_ms = now_ms - RECENTLY_ANSWERED_S * _MS_PER_S
+        answered = tuple(
+            suspect
+            for suspect in suspects
+            if self._answered_ms.get(suspect, 0) > since_ms
+        )
+        return CrashRecord(run, now_ms, suspects, answered)
+
     def is_suspect(self, fingerprint: Fingerprint) -> bool:
         """Return whether a request may have crashed a backend server.
 
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -171,11 +171,14 @@
         Unix time at which its node noticed it, in milliseconds.
     suspects
         Requests that were in flight.
+    answered
+        Those of them that the node had read an answer to shortly before.
     """
 
     run: BackendRun
     at_ms: int
     suspects: tuple[Fingerprint, ...]
+    answered: tuple[Fingerprint, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -18,6 +18,7 @@
     Refused,
 )
 from bilberryrail.forwarding.paused_work import PausedWork
+from bilberryrail.forwarding.quarantine import Quarantine
 from bilberryrail.forwarding.records import (
     BackendLoad,
     BackendRun,
@@ -72,8 +73,8 @@
     ----------
     clock
         The reactor or a test clock, for the time and for timers.
-    ledger
-        Knows which requests crash backend servers.
+    quarantine
+        Decides which requests may be sent.
 
     Attributes
     ----------
@@ -100,13 +101,13 @@
         clock: Any,
         backend: Backend,
         port: TargetPort,
-        ledger: CrashLedger,
+        quarantine: Quarantine,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.backend = backend
         self.port = port
-        self.ledger = ledger
+        self.quarantine = quarantine
         self.queue = WorkQueue()
         self.paused = PausedWork(clock, port.check_health, self.process_queue)
         self.capacity = TargetCapacity(backend)
@@ -151,7 +152,7 @@
             expires_at=Seconds(now + message.remaining_s),
         )
         reason = self.capacity.refusal_reason(now)
-        if _is_quarantined(work, self.ledger):
+        if _is_quarantined(work, self.quarantine.ledger):
             reason = Refusal.QUARANTINED
         if reason is not None:
             self._refuse(work, reason, UNKNOWN_WAIT_S)
@@ -178,6 +179,7 @@
         now = self._now()
         if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self.backend.request_answered(work.number, now)
+            self.quarantine.answered(work.message.fingerprint)
         else:
             self.backend.errors.failed(now)
         self.backend.crashes.heard(now)
@@ -249,7 +251,7 @@
         """
         now = self._now()
         for waiting in (*self.queue, *self.paused.work):
-            if _is_quarantined(waiting, self.ledger):
+            if _is_quarantined(waiting, self.quarantine.ledger):
                 self.queue.cancel(waiting)
                 self.paused.cancel(waiting)
                 self._refuse(waiting, Refusal.QUARANTINED, UNKNOWN_WAIT_S)
--- a/packages/forwarding/bilberryrail/forwarding/target_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/target_test.py
@@ -23,6 +23,7 @@
     NoticeSource,
 )
 from bilberryrail.forwarding.messages import Answered, Failed, Refused
+from bilberryrail.forwarding.quarantine import Quarantine
 from bilberryrail.forwarding.records import (
     BackendPhase,
     BackendRun,
@@ -71,11 +72,11 @@
         self.backend = Backend(SETTINGS.admission)
         self.backend.rules = RULES
         self.port = FakePort()
-        self.ledger = CrashLedger(
+        ledger = CrashLedger(
             SETTINGS.quarantine, lambda: int(self.clock.seconds() * 1000)
         )
         self.target = Target(
-            SETTINGS, self.clock, self.backend, self.port, self.ledger
+            SETTINGS, self.clock, self.backend, self.port, Quarantine(ledger)
         )
         self.send_heartbeat(BackendPhase.READY, 1)
         self.backend.service_time.overall.learn(0.05)
--- a/packages/gateway/bilberryrail/gateway/crash_reports.py
+++ b/packages/gateway/bilberryrail/gateway/crash_reports.py
@@ -46,7 +46,7 @@
     ) -> None:
         """Announce a crash of this node's backend server."""
         own = self.presence.membership.own
-        record = CrashRecord(run, self.ledger.wall_ms(), suspects)
+        record = self.quarantine.make_record(run, suspects)
         self._announce((*own.crashes, record), own.clearances)
         if self.presence.store_announcement is not None:
             self.presence.store_announcement()
--- a/packages/gateway/bilberryrail/gateway/crash_reports_test.py
+++ b/packages/gateway/bilberryrail/gateway/crash_reports_test.py
@@ -59,7 +59,7 @@
         for number in (2, 3, 4)
     ]
     node.presence.merge_announcements(others)
-    assert node.crash_ledger.is_quarantined(CULPRIT)
+    assert node.quarantine.ledger.is_quarantined(CULPRIT)
 
 
 def test_waiting_request_is_refused_when_it_is_quarantined(node):
@@ -88,7 +88,7 @@
     )
     node.presence.merge_announcements([earlier])
     assert node.membership.own.crashes == earlier.crashes
-    assert node.crash_ledger.is_quarantined(CULPRIT)
+    assert node.quarantine.ledger.is_quarantined(CULPRIT)
 
 
 def test_linked_node_tells_a_restarted_one_what_is_quarantined(node):
@@ -103,7 +103,7 @@
 def test_clearance_is_announced(node):
     # Guards against a harmless request that stays refused on other nodes.
     clearance = Clearance(CULPRIT, wall_ms())
-    node.ingress.quarantine.on_cleared(clearance)
+    node.quarantine.on_cleared(clearance)
     assert node.membership.own.clearances == (clearance,)
 
 
--- a/packages/gateway/bilberryrail/gateway/message_router.py
+++ b/packages/gateway/bilberryrail/gateway/message_router.py
@@ -107,7 +107,7 @@
             expected,
             accepts_compression=True,
             known=self.presence.candidates.runs.by_node.get(expected),
-            crashes=self.ports.target.ledger.evidence(),
+            crashes=self.ports.target.quarantine.ledger.evidence(),
         )
 
     def received(self, link: Link, message: messages.Message) -> None:
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -166,13 +166,15 @@
             ClientLimits().body_bytes,
         )
         self.ports = RolePorts(settings.node, self.pool)
-        self.crash_ledger = CrashLedger(forwarding.quarantine, wall_ms)
+        self.quarantine = Quarantine(
+            CrashLedger(forwarding.quarantine, wall_ms)
+        )
         self.target = Target(
             forwarding,
             self.reactor,
             self.backend,
             self.ports,
-            self.crash_ledger,
+            self.quarantine,
         )
         self.ingress = Ingress(
             forwarding,
@@ -180,7 +182,7 @@
             self.random,
             CandidateTable(forwarding, self.random),
             self.ports,
-            Quarantine(self.crash_ledger),
+            self.quarantine,
         )
         self.pool.target = self.target
         self.ports.target = self.target
@@ -217,7 +219,7 @@
             self.log.process,
         )
         self.crash_reports = CrashReports(
-            self.presence, self.ingress.quarantine, self.target
+            self.presence, self.quarantine, self.target
         )
         self.reader_selection = ReaderSelection(
             self.reactor, self.membership, self.links
