Close connections after an answer that names no request

A faulty backend server may write an earlier refusal once more on a kept connection.

Only the id tells a copy from the answer that is due. A connection on which an answer without an id was read is therefore not used again.

backend_pool_test.py::test_repeated_answer_without_an_id_reaches_no_other_request failed before for refusals, 421 and other answers.

An answer that ends within its head was looked at too: at none of the cuts of four heads does it count as complete, so this cannot happen here. The test answer_reader_test.py::test_answer_that_ends_within_its_head_is_not_complete passes on the code before.

--- a/packages/gateway/bilberryrail/gateway/answer_reader_test.py
+++ b/packages/gateway/bilberryrail/gateway/answer_reader_test.py
@@ -1,5 +1,7 @@
 """Tests that only complete answers of backend servers are accepted."""
 
+import itertools
+
 import pytest
 
 from bilberryrail.gateway.answer_reader import AnswerError, AnswerReader
@@ -30,6 +32,28 @@
     assert reader.connection_ended() is None
 
 
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'HTTP/1.1 200 OK\r\nX-Seal: 1\r\nContent-Length: 4\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Seal: 1\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nX-Seal: 1\r\n\r\n',
+        b'HTTP/1.1 200 OK\nX-Seal: 1\n\n',
+    ],
+)
+def test_answer_that_ends_within_its_head_is_not_complete(head):
+    # Guards against a success with an empty or short body, framed as whole, when
+    # a backend server stops within the head of its answer and closes (issue 29,
+    # MIXED).
+    for cut in itertools.accumulate(bytes((byte,)) for byte in head[:-1]):
+        try:
+            reader = read(cut)
+        except AnswerError:
+            continue
+        assert not reader.complete, cut
+        assert reader.connection_ended() is None, cut
+
+
 def test_answer_without_a_length_ends_with_its_connection():
     # Guards against losing a valid answer of a server that states no length.
     reader = read(b'HTTP/1.1 200 OK\r\nX: 1\r\n\r\nall of it')
--- a/packages/gateway/bilberryrail/gateway/backend_pool.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool.py
@@ -172,18 +172,23 @@
         for raw in complete:
             head = self.pool.read_head(work, raw)
             if head.verdict is not Verdict.FOREIGN:
-                self._release(raw, is_last=raw is complete[-1])
+                is_last = raw is complete[-1]
+                self._release(raw, is_reusable=is_last and head.is_identified)
                 self.pool.report_answer(work, raw, head)
                 return
         self.pool.log('foreign_answer', count=len(complete))
         complete.clear()
 
-    def _release(self, raw: RawAnswer, *, is_last: bool) -> None:
-        """Return the connection to the pool if it is reusable, or close it."""
-        has_rest = not is_last or self.reader.current is not None
+    def _release(self, raw: RawAnswer, *, is_reusable: bool) -> None:
+        """Return the connection to the pool if it is reusable, or close it.
+
+        It is closed after an answer that names no request, since a late copy of
+        that answer could not be told from the answer to the next request.
+        """
+        has_rest = self.reader.current is not None
         self.work = None
         self.reader = None
-        if has_rest or not raw.keeps_alive:
+        if has_rest or not is_reusable or not raw.keeps_alive:
             self.transport.loseConnection()
             return
         self.idle_timeout_s = _stated_idle_s(raw)
--- a/packages/gateway/bilberryrail/gateway/backend_pool_test.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool_test.py
@@ -43,7 +43,11 @@
 
     def answer_head(self, status, headers, request_id):
         found = dict(headers).get(b'X-Verdict', b'ran').decode()
-        return AnswerHead(Verdict(found), notice=Notice(7.5))
+        return AnswerHead(
+            Verdict(found),
+            notice=Notice(7.5),
+            is_identified=b'X-Anonymous' not in dict(headers),
+        )
 
 
 class FakeTarget:
@@ -101,10 +105,10 @@
         return connection
 
 
-def answer(body=b'body', verdict=b'ran'):
+def answer(body=b'body', verdict=b'ran', extra=b''):
     return (
-        b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nX-Verdict: %b\r\n'
-        b'Content-Length: %d\r\n\r\n%b' % (verdict, len(body), body)
+        b'HTTP/1.1 200 OK\r\nKeep-Alive: timeout=10\r\nX-Verdict: %b\r\n%b'
+        b'Content-Length: %d\r\n\r\n%b' % (verdict, extra, len(body), body)
     )
 
 
@@ -153,6 +157,21 @@
     assert connection.transport.disconnecting
 
 
+@pytest.mark.parametrize('verdict', [b'not-run', b'other-instance', b'ran'])
+def test_repeated_answer_without_an_id_reaches_no_other_request(bench, verdict):
+    # Guards against a faulty backend server that writes an earlier refusal once
+    # more: the request that uses the connection then was called not run while it
+    # ran (issue 29, REFUSED and TWICE). Without an id nothing tells the copy
+    # from the answer to that request, so the connection is not used again.
+    refusal = answer(b'', verdict, b'X-Anonymous: 1\r\n')
+    bench.dispatch(1)
+    bench.open().dataReceived(refusal)
+    bench.dispatch(2)
+    bench.open().dataReceived(answer())
+    assert len(bench.reactor.dialled) == 2
+    assert bench.target.outcomes[-1] == (2, b'body')
+
+
 @pytest.mark.parametrize(
     ('verdict', 'outcome'),
     [
--- a/packages/gateway/bilberryrail/gateway/dialect.py
+++ b/packages/gateway/bilberryrail/gateway/dialect.py
@@ -74,11 +74,14 @@
     notice
         What the backend server states besides; None if the answer is not known
         to be its own.
+    is_identified
+        Whether the answer names the request that it belongs to.
     """
 
     verdict: Verdict
     load: LoadReport | None = None
     notice: Notice | None = None
+    is_identified: bool = True
 
 
 @dataclass(frozen=True, slots=True)
