Accept late in a planned stop only what can start at once

Cause: the front end checked once that the usual duration fits into the rest of the grace. The wait at the target, and further targets after a refusal, were not part of the estimate.

- A request that must not be repeated is refused as not run from three seconds after SIGTERM on, unless its deadline is before the end.
- Others have a time by which they have to start.
A target refuses them if they would have to wait, and the ingress does not send them after it.
- What is still unanswered at the end gets 504 instead of a closed connection.

--- a/packages/forwarding/bilberryrail/forwarding/fixtures_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/fixtures_test.py
@@ -108,6 +108,7 @@
     max_answer_s: float = 0.0,
     priority: int = 2,
     idempotent: bool = True,
+    must_start_now: bool = False,
 ) -> Forward:
     return Forward(
         attempt=AttemptId(attempt),
@@ -119,4 +120,5 @@
         max_answer_s=max_answer_s,
         priority=priority,
         idempotent=idempotent,
+        must_start_now=must_start_now,
     )
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -1,6 +1,7 @@
 """Ingress role: handles a client's request until it is answered once."""
 
 import itertools
+import math
 from collections.abc import Callable
 from http import HTTPStatus
 from random import Random
@@ -144,7 +145,7 @@
         exchange.is_trial = permission is Permission.TRIAL
         self.retry_budget.deposit(exchange.service)
         left_s = max(0, exchange.expires_at - self._now())
-        expiry = self.clock.callLater(left_s, self._expire, exchange)
+        expiry = self.clock.callLater(left_s, self.expire, exchange)
         exchange.timers.append(expiry)
         self._send_to_best(exchange, is_retry=False)
 
@@ -264,6 +265,9 @@
     def _send_to_best(self, exchange: Exchange, *, is_retry: bool) -> None:
         """Send the request to the best available target."""
         now = self._now()
+        if now > exchange.start_by:
+            self._give_up(exchange, 'closing')
+            return
         choice = self._choose(exchange, now)
         if choice is None:
             self.on_decision(
@@ -334,6 +338,7 @@
             idempotent=exchange.route.idempotent,
             fingerprint=exchange.fingerprint,
             is_trial=exchange.is_trial,
+            must_start_now=not math.isinf(exchange.start_by),
         )
         self.links.send(node, message)
 
@@ -347,6 +352,8 @@
         choice = self._choose(exchange, now)
         if choice is None or choice.candidate.is_closed(now):
             return
+        if now > exchange.start_by:
+            return
         if not is_worthwhile(choice):
             return
         exchange.reached.update(
@@ -379,8 +386,8 @@
         exchange.retry_after_s = ledger.remaining_s(exchange.fingerprint)
         self._give_up(exchange, 'quarantined')
 
-    def _expire(self, exchange: Exchange) -> None:
-        """Answer at the deadline or at the time limit of the route."""
+    def expire(self, exchange: Exchange) -> None:
+        """Answer at the deadline, the route's time limit or the node's end."""
         if exchange.is_over:
             return
         if exchange.attempts:
--- a/packages/forwarding/bilberryrail/forwarding/ingress_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress_test.py
@@ -1,5 +1,6 @@
 """Tests of the ingress role: attempts, retries and the answer."""
 
+import math
 from http import HTTPStatus
 from random import Random
 
@@ -73,7 +74,7 @@
         )
         self.answers = []
 
-    def arrive(self, **terms):
+    def arrive(self, start_by=math.inf, **terms):
         found = route(**terms)
         now = self.clock.seconds()
         exchange = Exchange(
@@ -85,6 +86,7 @@
             arrived_at=Seconds(now),
             expires_at=Seconds(now + found.timeout_s),
             respond=self.answers.append,
+            start_by=Seconds(start_by),
         )
         self.ingress.serve(exchange)
         return exchange
@@ -370,3 +372,20 @@
     answer = Answered(attempt, HttpAnswer(200), LOAD)
     bench.ingress.answered(NodeId('stranger'), answer)
     assert not bench.answers
+
+
+def test_request_that_cannot_end_before_its_node_is_not_sent_again(bench):
+    # Guards against a request that is passed from target to target in a planned
+    # stop until it is cut at the last one (issue 29, LOST).
+    exchange = bench.arrive(start_by=100.2)
+    assert bench.forwards()[-1][1].must_start_now
+    bench.clock.advance(0.3)
+    bench.refuse(Refusal.LATE)
+    assert bench.statuses() == [HTTPStatus.SERVICE_UNAVAILABLE]
+    assert exchange.is_over
+
+
+def test_request_of_a_node_that_goes_on_may_wait(bench):
+    # Guards against refusing requests that could wait for a free slot.
+    bench.arrive()
+    assert not bench.forwards()[-1][1].must_start_now
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -77,6 +77,9 @@
         Identifies the request's content.
     is_trial
         Whether it is sent although it is quarantined.
+    must_start_now
+        Whether it has to be refused if it would have to wait, because its
+        ingress node ends soon.
     """
 
     attempt: AttemptId
@@ -90,6 +93,7 @@
     idempotent: bool
     fingerprint: Fingerprint = NO_FINGERPRINT
     is_trial: bool = False
+    must_start_now: bool = False
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=3):
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -277,7 +277,10 @@
 
     def _admit(self, work: Work, now: Seconds) -> None:
         """Send, pause, queue or refuse a request."""
-        if len(self.queue) or not self.capacity.is_free(now):
+        must_wait = len(self.queue) or not self.capacity.is_free(now)
+        if must_wait and work.message.must_start_now:
+            self._refuse(work, Refusal.LATE, UNKNOWN_WAIT_S)
+        elif must_wait:
             self._enqueue(work, now)
         elif self.admission.is_too_slow(work, now):
             self._refuse(work, Refusal.SLOW, 0)
@@ -286,7 +289,8 @@
 
     def _send_or_pause(self, work: Work, now: Seconds) -> None:
         """Send a request, or pause it while the host is slow."""
-        if not self.admission.is_better_paused(work, now):
+        must_start = work.message.must_start_now
+        if must_start or not self.admission.is_better_paused(work, now):
             self._send(work, now)
             return
         if work.paused_at is None:
--- a/packages/forwarding/bilberryrail/forwarding/target_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/target_test.py
@@ -448,3 +448,12 @@
         Seconds(bench.clock.seconds()),
     )
     assert bench.backend.statements.notice is None
+
+
+def test_request_that_must_start_now_is_refused_instead_of_queued(bench):
+    # Guards against a request that waits here while the node of its client ends
+    # (issue 29, LOST).
+    bench.offer(*range(8))
+    bench.offer(99, must_start_now=True)
+    assert bench.port.refusals() == [Refusal.LATE]
+    assert not len(bench.target.queue)
--- a/packages/gateway/bilberryrail/gateway/frontend.py
+++ b/packages/gateway/bilberryrail/gateway/frontend.py
@@ -1,5 +1,6 @@
 """Serves requests of clients on this host and of the backend server."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Final
@@ -105,7 +106,8 @@
             self._refuse(request, HttpAnswer(_NOT_FOUND, is_own=True), respond)
             return None
         exchange = self._make_exchange(request, route, respond)
-        if not self._has_time(exchange):
+        exchange.start_by = self._start_by(exchange)
+        if exchange.arrived_at > exchange.start_by:
             self.log(
                 'closing_refuse',
                 request=exchange.request_id,
@@ -117,11 +119,20 @@
         self.ingress.serve(exchange)
         return lambda: self.ingress.abandon(exchange)
 
-    def _has_time(self, exchange: Exchange) -> bool:
-        """Return whether a request will probably end before this process."""
+    def _start_by(self, exchange: Exchange) -> Seconds:
+        """Return until when a request has to start to end before this process.
+
+        It is infinite if the request may be accepted without a condition. A
+        request that must not be repeated is not accepted late, because the time
+        that it takes is only an estimate; another node can serve it at once.
+        """
         closing = self.closing
         if closing is None or exchange.arrived_at < closing.accepts_until:
-            return True
+            return Seconds(math.inf)
+        if exchange.expires_at <= closing.ends_at:
+            return Seconds(math.inf)
+        if not exchange.route.idempotent:
+            return Seconds(-math.inf)
         usual_s = self.ingress.candidates.estimates.usual_s(
             exchange.service,
             exchange.route.route,
@@ -130,7 +141,7 @@
             exchange.route.target_latency_s,
             usual_s * _SLOW_FACTOR,
         )
-        return exchange.arrived_at + needed_s <= closing.ends_at
+        return Seconds(closing.ends_at - needed_s)
 
     def _make_exchange(
         self,
--- a/packages/gateway/bilberryrail/gateway/frontend_test.py
+++ b/packages/gateway/bilberryrail/gateway/frontend_test.py
@@ -1,5 +1,6 @@
 """Tests of how requests of clients are accepted or refused."""
 
+import math
 from random import Random
 from types import SimpleNamespace
 
@@ -15,7 +16,7 @@
     RouteId,
     TrafficConfig,
 )
-from bilberryrail.forwarding.routes import SplitChooser
+from bilberryrail.forwarding.routes import RouteTable, SplitChooser
 from bilberryrail.gateway.dialect import ClientTerms
 from bilberryrail.gateway.frontend import Closing, Frontend
 from bilberryrail.gateway.http_server_test import ignore
@@ -62,7 +63,10 @@
             ignore,
         )
 
-    def serve_at(self, second):
+    def serve_at(self, second, *, idempotent=True, timeout_s=4.0):
+        found = route(idempotent=idempotent, timeout_s=timeout_s)
+        config = TrafficConfig(ConfigVersion(2), (found,), {BOARD: RULES})
+        self.frontend.operators.table = RouteTable(config)
         self.clock.advance(second - self.clock.seconds())
         self.frontend.serve(request(), '10.0.0.1', self.answers.append)
 
@@ -94,6 +98,38 @@
     assert len(bench.answers) == 1
 
 
+def test_late_request_that_must_not_be_repeated_is_refused(bench):
+    # Guards against cutting a request that must not be repeated: how long it
+    # runs is not known, and another node can serve it from the start (issue 29,
+    # LOST).
+    bench.estimates.route_time_reported(RouteId('r1'), 0.04)
+    bench.frontend.closing = CLOSING
+    bench.serve_at(3.1, idempotent=False)
+    assert [answer.status for answer in bench.answers] == [503]
+    assert not bench.accepted
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_late_request_whose_deadline_is_before_the_end_is_accepted(
+    bench, idempotent
+):
+    # Guards against refusing a request that is over before the process is.
+    bench.estimates.route_time_reported(RouteId('r1'), 0.5)
+    bench.frontend.closing = CLOSING
+    bench.serve_at(4.9, idempotent=idempotent, timeout_s=0.7)
+    assert bench.accepted[0].start_by == math.inf
+
+
+def test_late_request_must_start_while_it_can_end_in_time(bench):
+    # Guards against a request that waits at its target until the rest of the
+    # grace period is too short for its run: one was queued for 1 s and cut
+    # 0.22 s into its run (hunt of caydanlik-net, seed 613564704388).
+    bench.estimates.route_time_reported(RouteId('r1'), 0.1)
+    bench.frontend.closing = CLOSING
+    bench.serve_at(4.0)
+    assert bench.accepted[0].start_by == pytest.approx(5.65 - 0.5)
+
+
 def test_all_requests_are_accepted_at_the_start_of_a_shutdown(bench):
     # Guards against refusing clients before the platform sends them to another
     # node.
@@ -106,6 +142,6 @@
 def test_clients_are_told_to_retry_without_a_configuration(bench):
     # Guards against a 404 from a node that does not know the routes yet.
     bench.frontend.operators.table = None
-    bench.serve_at(0)
+    bench.frontend.serve(request(), '10.0.0.1', bench.answers.append)
     assert bench.answers[0].status == 503
     assert bench.answers[0].header(b'retry-after')
--- a/packages/gateway/bilberryrail/gateway/shutdown.py
+++ b/packages/gateway/bilberryrail/gateway/shutdown.py
@@ -96,6 +96,8 @@
             unanswered=len(process.ingress.exchanges),
             running=len(process.target.in_flight),
         )
+        for exchange in tuple(process.ingress.exchanges):
+            process.ingress.expire(exchange)
         process.follower.stop()
         process.announcer.stop()
         process.links.close()
