--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -250,6 +250,16 @@
             failure = Failed(attempt.attempt, Failure.LINK_LOST, None)
             self.failed(node, failure)
 
+    def expire(self, exchange: Exchange) -> None:
+        """Answer at the deadline, the route's time limit or the node's end."""
+        if exchange.is_over:
+            return
+        if exchange.attempts:
+            exchange.may_have_run = True
+            for attempt in exchange.attempts.values():
+                self.candidates.avoid(attempt.node, self._now())
+        self._give_up(exchange, 'timeout', HTTPStatus.GATEWAY_TIMEOUT)
+
     def load_reported(self, node: NodeId, load: BackendLoad | None) -> None:
         """Apply a load report.
 
@@ -386,16 +396,6 @@
         exchange.retry_after_s = ledger.remaining_s(exchange.fingerprint)
         self._give_up(exchange, 'quarantined')
 
-    def expire(self, exchange: Exchange) -> None:
-        """Answer at the deadline, the route's time limit or the node's end."""
-        if exchange.is_over:
-            return
-        if exchange.attempts:
-            exchange.may_have_run = True
-            for attempt in exchange.attempts.values():
-                self.candidates.avoid(attempt.node, self._now())
-        self._give_up(exchange, 'timeout', HTTPStatus.GATEWAY_TIMEOUT)
-
     def _give_up(
         self,
         exchange: Exchange,
