Write one announcement at a time to the store after crashes

Each crash started a write that is repeated until the store acknowledges it. With several crashes while the store was away, each added its own repeated calls. A crash during a write now only marks that another one is needed. crash_reports_test.py::test_crashes_while_the_store_is_away_add_no_calls failed before.

--- a/packages/gateway/bilberryrail/gateway/crash_reports.py
+++ b/packages/gateway/bilberryrail/gateway/crash_reports.py
@@ -36,6 +36,8 @@
         self.quarantine = quarantine
         self.ledger = quarantine.ledger
         self.target = target
+        self._is_storing = False
+        self._must_store_again = False
         presence.on_crashes = self.learned
         presence.on_own_crashes = self.restored
         quarantine.on_cleared = self.cleared
@@ -48,8 +50,7 @@
         own = self.presence.membership.own
         record = self.quarantine.make_record(run, suspects)
         self._announce((*own.crashes, record), own.clearances)
-        if self.presence.store_announcement is not None:
-            self.presence.store_announcement()
+        self._store()
         self.learned((record,))
 
     def cleared(self, clearance: Clearance) -> None:
@@ -117,6 +118,23 @@
             self._recent(crashes), self._recent(clearances)
         )
 
+    def _store(self) -> None:
+        """Write the announcement to the store, one call at a time.
+
+        While the store is away, one crash after the other must not add calls.
+        """
+        if self._is_storing:
+            self._must_store_again = True
+        elif self.presence.store_announcement is not None:
+            self._is_storing = True
+            self.presence.store_announcement().addBoth(self._stored)
+
+    def _stored(self, _: object) -> None:
+        self._is_storing = False
+        if self._must_store_again:
+            self._must_store_again = False
+            self._store()
+
     def _recent(self, observed: tuple[_Observed, ...]) -> tuple[_Observed, ...]:
         memory_ms = self.ledger.settings.memory_s * _MS_PER_S
         oldest_ms = self.ledger.wall_ms() - memory_ms
--- a/packages/gateway/bilberryrail/gateway/crash_reports_test.py
+++ b/packages/gateway/bilberryrail/gateway/crash_reports_test.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import pytest
+from twisted.internet.defer import Deferred, succeed
 
 from bilberryrail.core.ids import NodeId
 from bilberryrail.forwarding.backend_test import heartbeat
@@ -34,9 +35,13 @@
 @pytest.fixture
 def node(process):  # noqa: F811
     process.stored = []
-    process.presence.store_announcement = lambda: process.stored.append(
-        process.membership.own.crashes
-    )
+    process.acknowledged = succeed(True)
+
+    def store():
+        process.stored.append(process.membership.own.crashes)
+        return process.acknowledged
+
+    process.presence.store_announcement = store
     return process
 
 
@@ -51,6 +56,20 @@
     assert node.stored == [announced]
 
 
+def test_crashes_while_the_store_is_away_add_no_calls(node):
+    # Guards against one more repeated call to the store for each crash while it
+    # does not answer; the newest announcement is written when it does.
+    node.acknowledged = Deferred()
+    for number in (1, 2, 3):
+        run = BackendRun(InstanceId(f'i{number}'))
+        node.crash_reports.backend_crashed(run, (CULPRIT,))
+    assert [len(crashes) for crashes in node.stored] == [1]
+    away = node.acknowledged
+    node.acknowledged = succeed(True)
+    away.callback(True)
+    assert [len(crashes) for crashes in node.stored] == [1, 3]
+
+
 def test_crashes_of_other_nodes_count(node):
     # Guards against a request that crashes a backend server of each node in
     # turn before any of them refuses it.
