Send crashing requests in the soak

Up to three requests that end each backend server which runs them come every 0.6 s at random nodes, from a random time in the fault phase to the end of the soak. The backend server resets its connections, refuses new ones and is back after 1.5 to 3 s. The new check counts arrivals later than four seconds after the third crash; nodes are excused for a while after a fault of theirs.

--- a/packages/soak/bilberryrail/soak/checkers.py
+++ b/packages/soak/bilberryrail/soak/checkers.py
@@ -4,13 +4,18 @@
 that they run and the departures that nodes have acknowledged.
 """
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
 
-from bilberryrail.adapter.standins.backend_server import Departure, Run
+from bilberryrail.adapter.standins.backend_server import (
+    CRASHING,
+    Departure,
+    Run,
+)
 from bilberryrail.adapter.standins.caller import Call
 
 #: Time in seconds for which requests may still arrive at a backend server whose
@@ -28,6 +33,14 @@
 LIMIT_FACTOR: Final = 1.5
 LIMIT_SLACK: Final = 5
 
+#: Number of crashes after which a request must not be sent any more, and number
+#: of times that it may be sent still.
+MAX_CRASHES: Final = 3
+#: Time after the third crash from which on this holds, in seconds.
+CRASH_WINDOW_S: Final = 4.0
+#: Longest fault of a node, in seconds: a stop and the start after it.
+MAX_NODE_FAULT_S: Final = 10.0
+
 #: Minimum share of requests that must be served once all faults are over.
 MIN_SERVED_SHARE: Final = 0.95
 
@@ -60,6 +73,14 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class Crash:
+    """A request crashed an instance of a backend server."""
+
+    at: float
+    instance: str
+
+
 @dataclass(frozen=True, slots=True)
 class FaultFreePeriod:
     """Time at the end of a soak, long enough after the last fault."""
@@ -86,6 +107,8 @@
         this node.
     cold_limit
         Maximum number of requests to a cold backend server in any second.
+    faults
+        Time and host of each fault of a node or its links.
     store_faults
         Start and end of each period in which the store may not have worked.
     fault_free
@@ -98,6 +121,8 @@
     zones_out: list[ZoneOut] = field(default_factory=list)
     cold: list[ColdPeriod] = field(default_factory=list)
     limits: list[StatedLimit] = field(default_factory=list)
+    crashes: list[Crash] = field(default_factory=list)
+    faults: list[tuple[float, str]] = field(default_factory=list)
     home_zones: dict[str, frozenset[str]] = field(default_factory=dict)
     callers: dict[str, str] = field(default_factory=dict)
     cold_limit: float = 0
@@ -119,6 +144,7 @@
             _home_zones_respected,
             _cold_limits_respected,
             _stated_limits_respected,
+            _crashing_requests_contained,
             _newest_configuration_in_force,
             _recovery,
         )
@@ -244,6 +270,48 @@
             )
 
 
+def _crashing_requests_contained(observations: Observations) -> Iterator[str]:
+    """Check that a request is not sent on after it has caused three crashes.
+
+    Nodes are excused for a while after a fault. One that is stopped is away for
+    ten seconds at most, and then has ``CRASH_WINDOW_S`` to learn of crashes.
+    """
+    by_target: dict[bytes, list[Run]] = defaultdict(list)
+    for run in observations.runs:
+        if CRASHING in run.target:
+            by_target[run.target].append(run)
+    for target, same in by_target.items():
+        known_from = _third_crash_at(observations, same) + CRASH_WINDOW_S
+        late = [
+            one
+            for one in same
+            if one.at > known_from and not _had_fault(observations, one)
+        ]
+        if len(late) > MAX_CRASHES:
+            yield f'crash: {target!r} was sent {len(late)} times more'
+
+
+def _third_crash_at(observations: Observations, runs: list[Run]) -> float:
+    """Return when runs of a request have crashed the third backend server."""
+    instances = {run.instance for run in runs}
+    crashed_at = sorted(
+        crash.at
+        for crash in observations.crashes
+        if crash.instance in instances
+    )
+    is_over = len(crashed_at) >= MAX_CRASHES
+    return crashed_at[MAX_CRASHES - 1] if is_over else math.inf
+
+
+def _had_fault(observations: Observations, run: Run) -> bool:
+    """Return whether the node that got a request had a fault before."""
+    node = run.request_id.partition('/')[0]
+    return any(
+        host == node and 0 <= run.at - at < CRASH_WINDOW_S + MAX_NODE_FAULT_S
+        for at, host in observations.faults
+    )
+
+
 def _newest_configuration_in_force(
     observations: Observations,
 ) -> Iterator[str]:
--- a/packages/soak/bilberryrail/soak/checkers_test.py
+++ b/packages/soak/bilberryrail/soak/checkers_test.py
@@ -1,11 +1,14 @@
 """Tests that each checker of the soak finds violations of its guarantee."""
 
+from dataclasses import replace
+
 import pytest
 
 from bilberryrail.adapter.standins.backend_server import Departure, Run
 from bilberryrail.adapter.standins.caller import Call
 from bilberryrail.soak.checkers import (
     ColdPeriod,
+    Crash,
     FaultFreePeriod,
     Observations,
     StatedLimit,
@@ -63,6 +66,37 @@
     return [line.partition(':')[0] for line in violations(found)]
 
 
+def crashing_runs(count):
+    return [
+        run(f'n0/crash-{number}', at=10 + number, target=b'/status/crash-0')
+        for number in range(count)
+    ]
+
+
+@pytest.mark.parametrize(
+    ('late', 'faults', 'kinds'),
+    [
+        (3, [], []),
+        (4, [], ['crash']),
+        # The node was away, so it may not have learned of the crashes.
+        (4, [(20.0, 'n0')], []),
+        (4, [(20.0, 'n1')], ['crash']),
+    ],
+)
+def test_request_that_is_sent_after_three_crashes_is_found(late, faults, kinds):
+    # Guards against a checker that does not count what comes after the third
+    # crash, or that excuses all nodes after a fault of one.
+    early = crashing_runs(3)
+    crashes = [Crash(one.at, f'i{one.at}') for one in early]
+    early = [replace(one, instance=f'i{one.at}') for one in early]
+    runs = [
+        *early,
+        *(replace(one, at=one.at + 13) for one in crashing_runs(late)),
+    ]
+    found = observe(runs, crashes=crashes, faults=faults)
+    assert violation_kinds(found) == kinds
+
+
 def test_no_violation_is_found_in_a_correct_run():
     # Guards against checkers that report violations where there are none.
     assert not violations(observe([run()], [call()]))
--- a/packages/soak/bilberryrail/soak/faults.py
+++ b/packages/soak/bilberryrail/soak/faults.py
@@ -46,13 +46,16 @@
         self.random = random
         self.fleet = fleet
         self.history: list[tuple[float, str, str]] = []
-        self.faults: tuple[Callable[[str, float], None], ...] = (
+        self.node_faults: tuple[Callable[[str, float], None], ...] = (
             self.kill_node,
             self.stop_node,
             self.pause_node,
             self.reload_node,
             self.harm_links,
             self.harm_store_path,
+        )
+        self.faults = (
+            *self.node_faults,
             self.harm_store,
             self.slow_backend,
             self.lose_answers,
@@ -70,6 +73,8 @@
         duration_s = _MIN_FAULT_S + FAULT_RANGE_S * self.random.random()
         at = self.reactor.seconds()
         self.history.append((at, fault.__name__, host))
+        if fault in self.node_faults:
+            self.fleet.observations.faults.append((at, host))
         fault(host, duration_s)
 
     def kill_node(self, host: str, duration_s: float) -> None:
--- a/packages/soak/bilberryrail/soak/fleet.py
+++ b/packages/soak/bilberryrail/soak/fleet.py
@@ -86,6 +86,8 @@
         Proxy for the links that other nodes open to each host.
     store_proxies
         Proxy for the connections from each host to the store.
+    ports
+        Server and listening port of the backend server of each host.
     written
         Newest record of the operators for each key.
     """
@@ -113,6 +115,7 @@
         self.link_proxies: dict[str, Proxy] = {}
         self.store_proxies: dict[str, Proxy] = {}
         self.backends: dict[str, BackendServer] = {}
+        self.ports: dict[str, tuple[HttpServer, Any]] = {}
         self.callers: list[Caller] = []
         self.version = 1
         self.written: dict[str, bytes] = {}
@@ -165,6 +168,19 @@
             if key != names.CONFIG_KEY and payload != kept_payload:
                 self._write(key, payload)
 
+    def open_backend(self, host: str) -> None:
+        """Let the backend server of a host accept connections."""
+        backend = self.backends[host]
+        server = HttpServer(self.reactor, backend, _ignore)
+        self.ports[host] = (server, self._listen(backend.address, server))
+
+    def close_backend(self, host: str) -> None:
+        """Reset all connections of a backend server, and refuse new ones."""
+        server, port = self.ports[host]
+        port.stopListening()
+        for connection in tuple(server.connections):
+            connection.transport.abortConnection()
+
     @property
     def newest_route(self) -> ClientRoute:
         """Route that only the newest configuration has."""
@@ -192,7 +208,7 @@
             self._record,
         )
         self.backends[host.name] = backend
-        self._serve(host.address('backend'), backend)
+        self.open_backend(host.name)
         for _ in range(CALLERS_PER_HOST):
             self.callers.append(
                 Caller(
@@ -214,8 +230,10 @@
     def _serve(self, address: Any, service: Any) -> None:
         self._listen(address, HttpServer(self.reactor, service, _ignore))
 
-    def _listen(self, address: Any, factory: Any) -> None:
-        self.reactor.listenTCP(address.port, factory, interface=address.host)
+    def _listen(self, address: Any, factory: Any) -> Any:
+        return self.reactor.listenTCP(
+            address.port, factory, interface=address.host
+        )
 
 
 def _ignore(event: str, **fields: object) -> None:
--- a/packages/soak/bilberryrail/soak/run.py
+++ b/packages/soak/bilberryrail/soak/run.py
@@ -12,6 +12,7 @@
 
 from bilberryrail.soak import topology
 from bilberryrail.soak.checkers import FaultFreePeriod, violations
+from bilberryrail.soak.crashes import CrashDriver
 from bilberryrail.soak.faults import FaultDriver
 from bilberryrail.soak.fleet import Fleet
 from bilberryrail.soak.restores import RestoreDriver
@@ -93,6 +94,7 @@
         self.driver = FaultDriver(reactor, self.random, self.fleet)
         self.statements = StatementDriver(reactor, settings.seed, self.fleet)
         self.restores = RestoreDriver(reactor, settings.seed, self.fleet)
+        self.crashes = CrashDriver(reactor, settings.seed, self.fleet)
         self.started_at: float = 0
 
     def run(self) -> Any:
@@ -117,6 +119,8 @@
         stating = self.statements.run(ends_at, self.settings.statement_pause_s)
         ensureDeferred(stating)
         ensureDeferred(self.restores.run(ends_at))
+        crashes_end_at = ends_at + RECOVERY_S + FAULT_FREE_S
+        self.crashes.start(self.settings.faults_s, crashes_end_at)
         while self.reactor.seconds() < ends_at:
             pause_s = self.random.expovariate(1 / self.settings.pause_s)
             await deferLater(self.reactor, pause_s)
@@ -147,6 +151,7 @@
                     self.driver.history
                     + self.statements.history
                     + self.restores.history
+                    + self.crashes.history
                 )
             ),
             folder=self.folder,
