Tell clients how long a request is quarantined

If only the target knew that a request is quarantined, the ingress stated the shortest retry time, so the client came back at once. The target now states the rest of the quarantine in its refusal. A clearance is applied where it is announced, so that the end of a quarantine is logged on the node that has read the answer too, and the settings of the quarantine are checked.

Names follow the usual terms: crash_count, responded, find_suspected.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -146,7 +146,7 @@
         if health.cold_s is not None:
             self._cold_reported(health.cold_s, now)
         if health.is_healthy or health.instance:
-            self.crashes.heard(now)
+            self.crashes.responded(now)
         if health.is_healthy:
             self.down = False
             self._failed_checks = 0
--- a/packages/forwarding/bilberryrail/forwarding/crash_ledger.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_ledger.py
@@ -55,7 +55,7 @@
         self.crashes: dict[CrashRecord, None] = {}
         self.cleared_ms: dict[Fingerprint, int] = {}
         self.quarantined: frozenset[Fingerprint] = frozenset()
-        self._strikes: Mapping[Fingerprint, frozenset[CrashRecord]] = {}
+        self._suspected: Mapping[Fingerprint, frozenset[CrashRecord]] = {}
 
     def merge(
         self,
@@ -79,9 +79,9 @@
         self.crashes.update(new_crashes)
         self.cleared_ms.update(new_clearances)
         self._expire(oldest_ms)
-        self._strikes = find_strikes(self.crashes, self.cleared_ms)
+        self._suspected = find_suspected(self.crashes, self.cleared_ms)
         self.quarantined = find_quarantined(
-            self._strikes, self.settings.crashes
+            self._suspected, self.settings.crashes
         )
         return True
 
@@ -96,14 +96,14 @@
             crash: None
             for fingerprint in sorted(self.quarantined)
             for crash in sorted(
-                self._strikes[fingerprint], key=lambda one: one.at_ms
+                self._suspected[fingerprint], key=lambda one: one.at_ms
             )[-needed:]
         }
         return tuple(found)[-MAX_EVIDENCE:]
 
-    def strikes(self, fingerprint: Fingerprint) -> int:
-        """Return how many crashes a request is suspected of."""
-        return len(self._strikes.get(fingerprint, ()))
+    def crash_count(self, fingerprint: Fingerprint) -> int:
+        """Return the number of crashes that a request is suspected of."""
+        return len(self._suspected.get(fingerprint, ()))
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Return whether a request must not be sent to a backend server."""
@@ -119,7 +119,7 @@
 
     def last_crash_ms(self, fingerprint: Fingerprint) -> int:
         """Return the Unix time of its newest crash, in milliseconds."""
-        suspected = self._strikes.get(fingerprint, ())
+        suspected = self._suspected.get(fingerprint, ())
         return max((one.at_ms for one in suspected), default=_NEVER_MS)
 
     def _oldest_ms(self) -> float:
@@ -140,7 +140,7 @@
         }
 
 
-def find_strikes(
+def find_suspected(
     crashes: Iterable[CrashRecord],
     cleared_ms: Mapping[Fingerprint, int],
 ) -> dict[Fingerprint, frozenset[CrashRecord]]:
@@ -158,7 +158,7 @@
 
 
 def find_quarantined(
-    strikes: Mapping[Fingerprint, frozenset[CrashRecord]],
+    suspected: Mapping[Fingerprint, frozenset[CrashRecord]],
     min_crashes: int,
 ) -> frozenset[Fingerprint]:
     """Return the requests that are to blame for crashes.
@@ -169,7 +169,7 @@
     """
     suspects = {
         suspect: crashes
-        for suspect, crashes in strikes.items()
+        for suspect, crashes in suspected.items()
         if _weight(suspect, crashes) >= min_crashes
     }
     found: set[Fingerprint] = set()
--- a/packages/forwarding/bilberryrail/forwarding/crash_ledger_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_ledger_test.py
@@ -56,7 +56,7 @@
     # Guards against a quarantine because one report arrives on several ways.
     record = bench.crash(1, CULPRIT)
     assert not bench.ledger.merge((record, record))
-    assert bench.ledger.strikes(CULPRIT) == 1
+    assert bench.ledger.crash_count(CULPRIT) == 1
 
 
 def test_answered_request_is_not_blamed_for_earlier_crashes(bench):
@@ -123,7 +123,7 @@
         bench.crash(number, CULPRIT)
     bench.crash(600, OTHER)
     assert len(bench.ledger.crashes) == 512
-    assert bench.ledger.strikes(OTHER) == 1
+    assert bench.ledger.crash_count(OTHER) == 1
 
 
 def test_request_that_was_answered_before_needs_twice_as_many_crashes(bench):
--- a/packages/forwarding/bilberryrail/forwarding/crash_watch.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_watch.py
@@ -44,7 +44,7 @@
 
 
 class CrashWatch:
-    """Remembers the requests that were lost since the last sign of life.
+    """Remembers the requests that were lost since the last response.
 
     A reset connection alone is no crash: a backend server may break off single
     answers. A crash is known when the backend server refuses connections, or
@@ -77,8 +77,8 @@
         )
         self._ended_run: BackendRun | None = None
 
-    def heard(self, now: Seconds) -> None:
-        """Record a sign of life; requests lost before it did no harm."""
+    def responded(self, now: Seconds) -> None:
+        """Record a response; requests lost before it did not crash the run."""
         self._ended_run = None
         while self._lost and self._lost[0][0] < now - _READ_ORDER_S:
             self._lost.popleft()
--- a/packages/forwarding/bilberryrail/forwarding/crash_watch_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_watch_test.py
@@ -112,7 +112,7 @@
     # end is read after the reset.
     bench.start(1, ONE)
     bench.lose(1, at=1.0)
-    bench.backend.crashes.heard(Seconds(1.01))
+    bench.backend.crashes.responded(Seconds(1.01))
     bench.backend.connection_refused()
     assert bench.crashes == [(RUN, (ONE,))]
 
--- a/packages/forwarding/bilberryrail/forwarding/fixtures_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/fixtures_test.py
@@ -10,7 +10,9 @@
 )
 from bilberryrail.forwarding.messages import Forward
 from bilberryrail.forwarding.records import (
+    NO_FINGERPRINT,
     BackendPhase,
+    Fingerprint,
     HttpRequest,
     InstanceId,
     Part,
@@ -109,6 +111,8 @@
     priority: int = 2,
     idempotent: bool = True,
     must_start_now: bool = False,
+    fingerprint: Fingerprint = NO_FINGERPRINT,
+    is_trial: bool = False,
 ) -> Forward:
     return Forward(
         attempt=AttemptId(attempt),
@@ -121,4 +125,6 @@
         priority=priority,
         idempotent=idempotent,
         must_start_now=must_start_now,
+        fingerprint=fingerprint,
+        is_trial=is_trial,
     )
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -391,9 +391,12 @@
             'quarantined',
             exchange,
             content=exchange.fingerprint.hex(),
-            crashes=ledger.strikes(exchange.fingerprint),
+            crashes=ledger.crash_count(exchange.fingerprint),
+        )
+        exchange.retry_after_s = max(
+            exchange.retry_after_s,
+            ledger.remaining_s(exchange.fingerprint),
         )
-        exchange.retry_after_s = ledger.remaining_s(exchange.fingerprint)
         self._give_up(exchange, 'quarantined')
 
     def _give_up(
--- a/packages/forwarding/bilberryrail/forwarding/ingress_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress_test.py
@@ -389,3 +389,15 @@
     # Guards against refusing requests that could wait for a free slot.
     bench.arrive()
     assert not bench.forwards()[-1][1].must_start_now
+
+
+def test_client_is_told_how_long_a_request_is_quarantined(bench):
+    # Guards against a client that returns at once, because this node does not
+    # know the crashes that the target knows.
+    bench.arrive()
+    node, attempt = bench.last()
+    refusal = Refused(attempt, Refusal.QUARANTINED, 600.0, LOAD)
+    bench.ingress.refused(node, refusal)
+    answer = bench.answers[-1]
+    assert answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+    assert float(answer.header(b'retry-after')) >= 600
--- a/packages/forwarding/bilberryrail/forwarding/quarantine.py
+++ b/packages/forwarding/bilberryrail/forwarding/quarantine.py
@@ -23,7 +23,7 @@
 
 #: Number of crashes from which on an answer is told to all nodes. One crash only
 #: has consequences at nodes that have not read an answer since.
-_MIN_STRIKES_TO_TELL: Final = 2
+_MIN_CRASHES_TO_TELL: Final = 2
 
 #: Time for which an answer makes it less probable that a request causes a crash,
 #: in seconds.
@@ -70,7 +70,7 @@
     is_trial_owner
         Returns whether this node is the one that tries a request.
     on_cleared
-        Called with a clearance that other nodes have to know.
+        Called with a clearance that all nodes, this one too, have to know.
     """
 
     def __init__(self, ledger: CrashLedger) -> None:
@@ -103,11 +103,9 @@
         self._answered_ms.move_to_end(fingerprint)
         if len(self._answered_ms) > _MAX_ANSWERED:
             self._answered_ms.popitem(last=False)
-        if self.ledger.strikes(fingerprint) >= _MIN_STRIKES_TO_TELL:
+        if self.ledger.crash_count(fingerprint) >= _MIN_CRASHES_TO_TELL:
             self._trials.pop(fingerprint, None)
-            clearance = Clearance(fingerprint, now_ms)
-            self.ledger.merge((), (clearance,))
-            self.on_cleared(clearance)
+            self.on_cleared(Clearance(fingerprint, now_ms))
 
     def make_record(
         self, run: BackendRun, suspects: tuple[Fingerprint, ...]
--- a/packages/forwarding/bilberryrail/forwarding/quarantine_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/quarantine_test.py
@@ -29,7 +29,11 @@
         self.quarantine = Quarantine(ledger)
         self.quarantine.is_trial_owner = lambda fingerprint: True
         self.cleared = []
-        self.quarantine.on_cleared = self.cleared.append
+        self.quarantine.on_cleared = self.clear
+
+    def clear(self, clearance):
+        self.cleared.append(clearance)
+        self.quarantine.ledger.merge((), (clearance,))
 
     def crash(self, count=3):
         for _ in range(count):
@@ -96,7 +100,7 @@
     bench.now_ms += 1
     bench.quarantine.answered(LOOKUP)
     assert [one.fingerprint for one in bench.cleared] == [LOOKUP]
-    assert not bench.quarantine.ledger.strikes(LOOKUP)
+    assert not bench.quarantine.ledger.crash_count(LOOKUP)
 
 
 def test_request_is_suspected_until_it_is_answered(bench):
--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -1,5 +1,7 @@
 """Settings of the decisions about forwarded requests."""
 
+from typing import Annotated
+
 import msgspec
 
 from bilberryrail.core.ids import AvailabilityZoneId, NodeId, RegionId
@@ -86,10 +88,10 @@
         Factor by which that time grows with each trial.
     """
 
-    crashes: int = 3
-    memory_s: float = 600.0
-    trial_s: float = 5.0
-    trial_factor: float = 8.0
+    crashes: Annotated[int, msgspec.Meta(ge=1)] = 3
+    memory_s: Annotated[float, msgspec.Meta(gt=0)] = 600.0
+    trial_s: Annotated[float, msgspec.Meta(gt=0)] = 5.0
+    trial_factor: Annotated[float, msgspec.Meta(ge=1)] = 8.0
 
 
 class ForwardingSettings(msgspec.Struct, frozen=True):
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -152,8 +152,10 @@
             expires_at=Seconds(now + message.remaining_s),
         )
         reason = self.capacity.refusal_reason(now)
-        if _is_quarantined(work, self.quarantine.ledger):
-            reason = Refusal.QUARANTINED
+        quarantined_s = _quarantined_s(work, self.quarantine.ledger)
+        if quarantined_s:
+            self._refuse(work, Refusal.QUARANTINED, quarantined_s)
+            return
         if reason is not None:
             self._refuse(work, reason, UNKNOWN_WAIT_S)
             return
@@ -182,7 +184,7 @@
             self.quarantine.answered(work.message.fingerprint)
         else:
             self.backend.errors.failed(now)
-        self.backend.crashes.heard(now)
+        self.backend.crashes.responded(now)
         request = self.backend.running.get(work.number)
         ran_s = now - request.sent_at if request else 0
         self.on_decision(
@@ -251,10 +253,11 @@
         """
         now = self._now()
         for waiting in (*self.queue, *self.paused.work):
-            if _is_quarantined(waiting, self.quarantine.ledger):
+            quarantined_s = _quarantined_s(waiting, self.quarantine.ledger)
+            if quarantined_s:
                 self.queue.cancel(waiting)
                 self.paused.cancel(waiting)
-                self._refuse(waiting, Refusal.QUARANTINED, UNKNOWN_WAIT_S)
+                self._refuse(waiting, Refusal.QUARANTINED, quarantined_s)
         reason = self.capacity.refusal_reason(now)
         if reason is not None:
             for work in (*self.queue, *self.paused.release_all()):
@@ -390,10 +393,12 @@
         self.port.reply(work.origin.node, reply)
 
 
-def _is_quarantined(work: Work, ledger: CrashLedger) -> bool:
-    """Return whether a request must not be sent, unless it is a trial."""
+def _quarantined_s(work: Work, ledger: CrashLedger) -> float:
+    """Return how long a request must not be sent; zero if it may be."""
     fingerprint = work.message.fingerprint
-    return not work.message.is_trial and ledger.is_quarantined(fingerprint)
+    if work.message.is_trial or not ledger.is_quarantined(fingerprint):
+        return 0
+    return ledger.remaining_s(fingerprint)
 
 
 def _ignore(event: str, work: Work, **fields: object) -> None:
--- a/packages/forwarding/bilberryrail/forwarding/target_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/target_test.py
@@ -27,7 +27,9 @@
 from bilberryrail.forwarding.records import (
     BackendPhase,
     BackendRun,
+    CrashRecord,
     Failure,
+    Fingerprint,
     HttpAnswer,
     InstanceId,
     Refusal,
@@ -38,6 +40,9 @@
 PEER = NodeId('n2')
 
 
+LOOKUP = Fingerprint(b'lookup')
+
+
 class FakePort:
     """Records the calls of the target role."""
 
@@ -457,3 +462,17 @@
     bench.offer(99, must_start_now=True)
     assert bench.port.refusals() == [Refusal.LATE]
     assert not len(bench.target.queue)
+
+
+def test_quarantined_request_is_refused_unless_it_is_a_trial(bench):
+    # Guards against sending a request that crashes backend servers for an
+    # ingress node that does not know this, and against trials that are refused.
+    now_ms = int(bench.clock.seconds() * 1000)
+    bench.target.quarantine.ledger.merge(
+        CrashRecord(BackendRun(InstanceId(f'i{number}')), now_ms, (LOOKUP,))
+        for number in range(3)
+    )
+    bench.offer(1, fingerprint=LOOKUP)
+    assert bench.port.refusals() == [Refusal.QUARANTINED]
+    bench.offer(2, fingerprint=LOOKUP, is_trial=True)
+    assert bench.running() == [2]
--- a/packages/gateway/bilberryrail/gateway/crash_reports.py
+++ b/packages/gateway/bilberryrail/gateway/crash_reports.py
@@ -62,6 +62,7 @@
             if one.fingerprint != clearance.fingerprint
         )
         self._announce(own.crashes, (*kept, clearance))
+        self.learned((), (clearance,))
 
     def learned(
         self,
@@ -77,7 +78,7 @@
             self.presence.log(
                 'quarantine',
                 content=fingerprint.hex(),
-                crashes=self.ledger.strikes(fingerprint),
+                crashes=self.ledger.crash_count(fingerprint),
                 quarantined=fingerprint in after,
             )
         self.target.process_queue()
--- a/packages/gateway/bilberryrail/gateway/crash_reports_test.py
+++ b/packages/gateway/bilberryrail/gateway/crash_reports_test.py
@@ -86,18 +86,14 @@
     node.backend.rules = RULES
     node.backend.heartbeat_received(heartbeat(), 0)
     node.backend.slots = 0
-    node.target.offer(NodeId('n2'), replace_fingerprint(forward(1), CULPRIT))
-    node.target.offer(NodeId('n2'), replace_fingerprint(forward(2), CULPRIT))
+    for attempt in (1, 2):
+        message = forward(attempt, fingerprint=CULPRIT)
+        node.target.offer(NodeId('n2'), message)
     assert len(node.target.queue)
     node.crash_reports.learned(tuple(crash(number) for number in range(3)))
     assert not len(node.target.queue)
 
 
-def replace_fingerprint(message, fingerprint):
-    message.fingerprint = fingerprint
-    return message
-
-
 def test_restarted_node_announces_its_earlier_crashes_again(node):
     # Guards against evidence that is lost when the node that has observed it
     # restarts, for nodes that start after that.
