Tell all nodes of a service directly of a crash there

In a fleet without links between all nodes, announcements reach other regions through two relays, and regions of more than 160 nodes only with the list that is read every 15 s. Until then a crashing request is sent on. A crash is now also sent to each node of the same service, opening a link if needed: these are the targets, which refuse the request for every ingress node. A service has about 15 nodes in the fleet of docs/CAPACITY.md.

presence_test.py::test_all_nodes_of_the_service_are_told_of_a_crash failed before for 200 nodes (4 of 210 told) and for 60 nodes and another region (2 of 10). Fleets of up to 41 nodes have links between all nodes and are not affected.

--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -151,7 +151,12 @@
         crashes: tuple[CrashRecord, ...],
         clearances: tuple[Clearance, ...],
     ) -> None:
-        """Announce what this node has observed of crashes."""
+        """Announce what this node has observed of crashes.
+
+        The nodes of its service are told directly, also without a persistent
+        link: their targets refuse the request for ingress nodes that do not
+        know the crashes yet.
+        """
         own = self.membership.own
         self._announce(
             replace(
@@ -161,6 +166,11 @@
                 clearances=clearances,
             )
         )
+        message = messages.Announce(self.membership.own)
+        for peer in self.membership.others():
+            is_linked = peer.node in self.links.persistent
+            if peer.service == own.service and not is_linked:
+                self.links.send(peer.node, message)
 
     def announcement_received(self, sender: Peer, announced: Peer) -> None:
         """Merge an announcement; relay it if it came from another region.
--- a/packages/gateway/bilberryrail/gateway/presence_test.py
+++ b/packages/gateway/bilberryrail/gateway/presence_test.py
@@ -200,3 +200,19 @@
     bench.backend.instance_left('i1')
     bench.presence.refresh()
     assert bench.membership.own.departed
+
+
+@pytest.mark.parametrize(
+    ('near', 'far', 'others'),
+    # A full mesh; links within the region only; no persistent links.
+    [(10, 10, 0), (60, 10, 10), (200, 10, 210)],
+)
+def test_all_nodes_of_the_service_are_told_of_a_crash(bench, near, far, others):
+    # Guards against large fleets in which a request crashes backend servers
+    # until the announcement has been relayed (issue 29).
+    bench.learn_fleet(near, far)
+    before = len(bench.links.sent)
+    bench.presence.announce_crashes((), ())
+    told = set(bench.links.sent[before:])
+    assert len(told) == others
+    assert len(told | bench.links.persistent) == near + far
