Notice a silent crash of a run whose successor has its id

A backend server that falls silent refuses no connections, so its end shows only with the next run. If that has the same id, it may answer a health check before its first heartbeat tells another start. The answer counted as one of the run before and cleared the requests that were lost in the silence, so a crashing request was never found.

After a second without a response, requests are cleared only when a heartbeat has confirmed the run. test_silent_end_and_restart_under_the_same_id_is_noticed failed before; test_reset_of_one_connection_is_no_crash now lets the run send its second heartbeat first, as runs do, and checks the same.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -95,7 +95,9 @@
         is_same = self.run is not None and run.is_same_as(self.run)
         if is_same and heartbeat.sequence <= self.sequence:
             return False
-        if not is_same:
+        if is_same:
+            self.crashes.confirmed()
+        else:
             self._run_started(run, now)
         self._has_heartbeat = True
         self.born_ms = heartbeat.born_ms
--- a/packages/forwarding/bilberryrail/forwarding/crash_watch.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_watch.py
@@ -1,5 +1,6 @@
 """Finds the requests that may have crashed the backend server of a node."""
 
+import math
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -20,6 +21,10 @@
 #: order.
 _READ_ORDER_S: Final = 0.05
 
+#: Time without a response after which the run may have been replaced by another,
+#: in seconds. Health checks are sent every 0.2 s.
+_SILENCE_S: Final = 1.0
+
 #: Largest number of suspects of one crash. It is more than the requests that run
 #: at once; the most recent ones count if many were lost in a silent crash.
 MAX_SUSPECTS: Final = 64
@@ -76,13 +81,28 @@
             maxlen=MAX_SUSPECTS
         )
         self._ended_run: BackendRun | None = None
+        self._responded_at = Seconds(-math.inf)
+        self._is_confirmed = False
 
     def responded(self, now: Seconds) -> None:
-        """Record a response; requests lost before it did not crash the run."""
+        """Record a response; requests lost before it did not crash the run.
+
+        After a silence that is not certain until a heartbeat confirms the run:
+        another run may have started under the same id.
+        """
         self._ended_run = None
+        if now - self._responded_at > _SILENCE_S:
+            self._is_confirmed = False
+        self._responded_at = now
+        if not self._is_confirmed:
+            return
         while self._lost and self._lost[0][0] < now - _READ_ORDER_S:
             self._lost.popleft()
 
+    def confirmed(self) -> None:
+        """Record a heartbeat of the present run."""
+        self._is_confirmed = True
+
     def request_lost(self, number: int, now: Seconds) -> None:
         """Record a request in flight that ends without an answer.
 
--- a/packages/forwarding/bilberryrail/forwarding/crash_watch_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_watch_test.py
@@ -47,6 +47,11 @@
         )
         self.backend.heartbeat_received(heartbeat(), Seconds(0))
 
+    def confirm(self):
+        """Let the run respond and send its second heartbeat."""
+        self.backend.health_checked(healthy(), Seconds(0.5))
+        self.backend.heartbeat_received(heartbeat(sequence=2), Seconds(0.6))
+
     def start(self, number, fingerprint, at=0.0):
         self.backend.request_started(
             number, RouteId('r1'), Seconds(at), fingerprint
@@ -95,9 +100,34 @@
     assert bench.crashes == [(RUN, (ONE,))]
 
 
+def test_silent_end_and_restart_under_the_same_id_is_noticed(bench):
+    # Guards against missing a crash because the next run has the id of the one
+    # before and answers a health check before its first heartbeat.
+    bench.confirm()
+    bench.start(1, ONE)
+    bench.lose(1, at=1.0)
+    bench.backend.health_checked(healthy(), Seconds(3.0))
+    bench.backend.heartbeat_received(heartbeat('i1', 200), Seconds(3.5))
+    assert bench.crashes == [(RUN, (ONE,))]
+
+
+def test_silence_alone_is_no_crash(bench):
+    # Guards against blaming requests that were lost while the backend server
+    # was frozen: its next heartbeat shows that it is the same run.
+    bench.confirm()
+    bench.start(1, ONE)
+    bench.lose(1, at=1.0)
+    bench.backend.health_checked(healthy(), Seconds(3.0))
+    bench.backend.heartbeat_received(heartbeat(sequence=3), Seconds(3.5))
+    bench.backend.health_checked(healthy(), Seconds(3.6))
+    bench.backend.heartbeat_received(heartbeat('i2', 200), Seconds(9))
+    assert not bench.crashes
+
+
 def test_reset_of_one_connection_is_no_crash(bench):
     # Guards against blaming a request for an answer that is broken off, while
     # the backend server goes on and ends for another reason later.
+    bench.confirm()
     bench.start(1, ONE)
     bench.lose(1, at=1.0)
     bench.backend.health_checked(healthy(), Seconds(1.2))
