--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -96,7 +96,7 @@
         if is_same and heartbeat.sequence <= self.sequence:
             return False
         if is_same:
-            self.crashes.confirmed()
+            self.crashes.run_confirmed()
         else:
             self._run_started(run, now)
         self._has_heartbeat = True
--- a/packages/forwarding/bilberryrail/forwarding/crash_watch.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_watch.py
@@ -99,7 +99,7 @@
         while self._lost and self._lost[0][0] < now - _READ_ORDER_S:
             self._lost.popleft()
 
-    def confirmed(self) -> None:
+    def run_confirmed(self) -> None:
         """Record a heartbeat of the present run."""
         self._is_confirmed = True
 
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -138,7 +138,7 @@
     def serve(self, exchange: Exchange) -> None:
         """Start to serve a request, or refuse it if it is quarantined."""
         self.exchanges.add(exchange)
-        permission = self.quarantine.permission(exchange.fingerprint)
+        permission = self.quarantine.admit(exchange.fingerprint)
         if permission is Permission.QUARANTINED:
             self._refuse_quarantined(exchange)
             return
--- a/packages/forwarding/bilberryrail/forwarding/quarantine.py
+++ b/packages/forwarding/bilberryrail/forwarding/quarantine.py
@@ -80,10 +80,10 @@
         self._answered_ms: OrderedDict[Fingerprint, int] = OrderedDict()
         self._trials: dict[Fingerprint, Trials] = {}
 
-    def permission(self, fingerprint: Fingerprint) -> Permission:
-        """Return whether a request of a client may be sent.
+    def admit(self, fingerprint: Fingerprint) -> Permission:
+        """Decide whether a request of a client may be sent.
 
-        A trial counts as made.
+        A trial counts from then on, whatever becomes of the request.
         """
         if not self.ledger.is_quarantined(fingerprint):
             return Permission.ALLOWED
--- a/packages/forwarding/bilberryrail/forwarding/quarantine_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/quarantine_test.py
@@ -44,7 +44,7 @@
 
     def permission_after(self, seconds):
         self.now_ms += int(seconds * 1000)
-        return self.quarantine.permission(LOOKUP)
+        return self.quarantine.admit(LOOKUP)
 
 
 @pytest.fixture
