Show that a planned stop breaks off lookups accepted late

LOST: after the third second of the grace a node still accepts idempotent requests by an estimate of five times the usual duration, and answers 504 for those that take longer, although their servers are at work.

--- a/review/harness.py
+++ b/review/harness.py
@@ -298,10 +298,10 @@
                     run.cancel()
                     self.record('dropped', attempt, worker=self.instance)
                     return None
+            self.record('done', attempt, worker=self.instance)
             return run.result()
         finally:
             self.running -= 1
-            self.record('ended', attempt, worker=self.instance)
 
     async def _send_heartbeats(self) -> None:
         while True:
