Show that a broken-off copy of a refusal makes orders run twice

TWICE and REFUSED: bytes that a faulty server adds before an answer merge with its head, and the node takes the result for a refusal of the present request.

--- /dev/null
+++ b/review/5/case.py
@@ -0,0 +1,143 @@
+"""A broken-off copy of an earlier refusal turns an answer into a refusal.
+
+Rules TWICE and REFUSED. Exits with 0 if both held, 1 if one was broken, 2 if
+the case could not run. With ``TROUBLE=0`` no bytes are added to answers.
+"""
+
+import asyncio
+import collections
+import pathlib
+import random
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
+
+import harness
+
+CASE = pathlib.Path(__file__).resolve().parent
+SERVERS = 5
+#: The site's garble: how "extra late", share 0.6, x 0.03. Three of five servers
+#: are faulty, and spoil this share of their answers.
+FAULTY_SERVERS = 3
+SPOILED_SHARE = 0.03
+#: Share of requests that a server refuses because it is full for a moment.
+FULL_SHARE = 0.02
+REQUESTS = 5000
+SEND_INTERVAL_S = 0.01
+DEADLINE_S = 3.0
+#: Statuses that promise that the request has not run and never will.
+PROMISES = (408, 421, 429, 503)
+
+
+def make(case: pathlib.Path) -> harness.Deployment:
+    """Build four machines of one service."""
+    zones = [('izmir-a', 'ege'), ('manisa-b', 'ege')]
+    shape = [(*zones[index % 2], 'muhur') for index in range(SERVERS)]
+    routes = {
+        'seal': {
+            'host': 'kettle.example',
+            'path_prefix': '/seal/',
+            'kind': 'unsafe',
+            'timeout': 1.5,
+            'target_latency': 0.5,
+            'priority': 0,
+            'service': 'muhur',
+            'max_attempts': 2,
+            'allowed_regions': [],
+        }
+    }
+    config = harness.configuration(routes, ['muhur'])
+    deployment = harness.Deployment(case, shape, config)
+    for worker in deployment.workers.values():
+        worker.refuses = lambda: random.random() < FULL_SHARE
+        worker.body_bytes = 400
+    return deployment
+
+
+def make_faulty(
+    deployment: harness.Deployment, worker: harness.Worker
+) -> None:
+    """Let a server write a part of an earlier refusal before some answers."""
+    refusals: list[bytes] = []
+    kept: set[object] = set()
+
+    def spoil(connection: object, answer: bytes) -> bytes:
+        is_kept = connection in kept
+        kept.add(connection)
+        head = answer.partition(b'\r\n\r\n')[0]
+        if b'Not-Executed' in head:
+            refusals.append(head)
+            return answer
+        is_spoiled = random.random() < SPOILED_SHARE
+        if not (is_kept and refusals and is_spoiled):
+            return answer
+        refusal = refusals[-1]
+        part = refusal[: random.randrange(1, len(refusal))]
+        attempt = harness.attempt_of(answer)
+        deployment.record('spoiled', attempt, added=part)
+        return part + answer
+
+    worker.spoil = spoil
+
+
+def watch_runs(deployment: harness.Deployment) -> collections.Counter[str]:
+    """Return how often servers have begun to run each attempt."""
+    runs: collections.Counter[str] = collections.Counter()
+    record = deployment.record
+
+    def recorded(event: str, attempt: str = '-', **fields: object) -> None:
+        record(event, attempt, **fields)
+        if event == 'run':
+            runs[attempt] += 1
+
+    for worker in deployment.workers.values():
+        worker.record = recorded
+    return runs
+
+
+async def send(
+    deployment: harness.Deployment, node: harness.Node
+) -> tuple[str, int]:
+    """Order one seal; return its attempt and the status of the answer."""
+    attempt = harness.attempt_id()
+    headers = {
+        'Host': 'kettle.example',
+        'Bilberryrail-Attempt-Id': attempt,
+        'Bilberryrail-Deadline-Ms': str(int(DEADLINE_S * 1000)),
+    }
+    deployment.record('sent', attempt, node=node.name)
+    payload = harness.request_bytes('PUT', '/seal/k', headers, b's' * 1200)
+    answer = await harness.call(node.outbound, payload, DEADLINE_S)
+    status = answer.status if answer else 0
+    deployment.record('answered', attempt, status=status)
+    return attempt, status
+
+
+async def play(deployment: harness.Deployment, has_trouble: bool) -> bool:
+    """Send orders to all nodes in turn; return whether the rules held."""
+    runs = watch_runs(deployment)
+    if has_trouble:
+        for worker in list(deployment.workers.values())[:FAULTY_SERVERS]:
+            make_faulty(deployment, worker)
+    sending = []
+    for index in range(REQUESTS):
+        node = deployment.nodes[index % SERVERS]
+        sending.append(asyncio.create_task(send(deployment, node)))
+        await asyncio.sleep(SEND_INTERVAL_S)
+    statuses = dict(await asyncio.gather(*sending))
+    twice = [attempt for attempt, count in runs.items() if count > 1]
+    refused = [
+        attempt
+        for attempt, status in statuses.items()
+        if status in PROMISES and runs[attempt]
+    ]
+    for attempt in twice:
+        deployment.record('TWICE', attempt, runs=runs[attempt])
+    for attempt in refused:
+        deployment.record('REFUSED', attempt, status=statuses[attempt])
+    deployment.record('result', twice=len(twice), refused=len(refused))
+    return not (twice or refused)
+
+
+if __name__ == '__main__':
+    sys.exit(harness.run_case(CASE, make, play))
--- a/review/harness.py
+++ b/review/harness.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import contextlib
+import http
 import json
 import os
 import pathlib
@@ -95,8 +96,9 @@
     status: int, headers: Headers | None = None, body: bytes = b''
 ) -> bytes:
     """Format an answer."""
-    lines = [f'HTTP/1.1 {status} Status', f'Content-Length: {len(body)}']
+    lines = [f'HTTP/1.1 {status} {http.HTTPStatus(status).phrase}']
     lines += [f'{name}: {text}' for name, text in (headers or {}).items()]
+    lines.append(f'Content-Length: {len(body)}')
     return '\r\n'.join([*lines, '', '']).encode() + body
 
 
@@ -222,7 +224,9 @@
 class Worker:
     """A backend server that behaves as PROTOCOL.md says.
 
-    ``run`` may be replaced; it gets the request and returns the answer.
+    ``run`` may be replaced; it gets the request and returns the answer. So may
+    ``refuses``, which says whether the server is full, and ``spoil``, which
+    gets the connection and the bytes that are written to it.
     """
 
     def __init__(self, node: 'Node', record: Callable[..., None]) -> None:
@@ -236,6 +240,8 @@
         self.sequence = 0
         self.run: Callable[[Message], Awaitable[bytes]] = self.run_soundly
         self.work_s: Callable[[Message], float] = lambda _: 0.1
+        self.refuses: Callable[[], bool] = self.is_full
+        self.spoil: Callable[[object, bytes], bytes] = lambda _, answer: answer
         self.body_bytes = 1500
 
     async def start(self) -> None:
@@ -250,6 +256,10 @@
         text = f'{self.running},0,{self.slots},100'
         return {'Bilberryrail-Server-Load': text}
 
+    def is_full(self) -> bool:
+        """Return whether all slots and the queue are taken."""
+        return self.running >= 3 * self.slots
+
     async def run_soundly(self, request: Message) -> bytes:
         """Run a request for ``work_s`` and answer it with success."""
         await asyncio.sleep(self.work_s(request))
@@ -279,9 +289,11 @@
         if expected not in {None, self.instance}:
             who = {'Bilberryrail-Instance-Id': self.instance}
             return answer_bytes(421, who | echo)
-        not_run = {'Bilberryrail-Not-Executed': '1'}
-        if self.running >= 3 * self.slots:
-            return answer_bytes(503, not_run | echo | self.load)
+        if self.refuses():
+            self.record('refused', attempt, worker=self.instance)
+            not_run = {'Bilberryrail-Not-Executed': '1'}
+            refusal = answer_bytes(503, not_run | self.load | echo)
+            return self.spoil(writer, refusal)
         self.running += 1
         self.record(
             'run',
@@ -299,7 +311,7 @@
                     self.record('dropped', attempt, worker=self.instance)
                     return None
             self.record('done', attempt, worker=self.instance)
-            return run.result()
+            return self.spoil(writer, run.result())
         finally:
             self.running -= 1
 
@@ -586,6 +598,12 @@
             await asyncio.sleep(1)
 
 
+def attempt_of(answer: bytes) -> str:
+    """Return the id of the attempt that an answer names."""
+    found = re.search(rb'(?i)attempt-id: (\S+)', answer)
+    return found[1].decode() if found else '-'
+
+
 def attempt_id() -> str:
     """Return a new id of a client's attempt."""
     return f'{random.getrandbits(64):016x}'
