--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,11 +1,12 @@
-"""A broken-off copy of an earlier refusal turns an answer into a refusal.
+"""A broken-off copy of an earlier answer changes the next one on a connection.
 
-Rules TWICE and REFUSED. Exits with 0 if both held, 1 if one was broken, 2 if
-the case could not run. With ``TROUBLE=0`` no bytes are added to answers.
+Rules TWICE, REFUSED and MIXED. Exits with 0 if all held, 1 if one was broken,
+2 if the case could not run. With ``TROUBLE=0`` no bytes are added to answers.
 """
 
 import asyncio
 import collections
+import dataclasses
 import pathlib
 import random
 import sys
@@ -57,22 +58,28 @@
 def make_faulty(
     deployment: harness.Deployment, worker: harness.Worker
 ) -> None:
-    """Let a server write a part of an earlier refusal before some answers."""
+    """Let a server write a part of an earlier answer before some answers.
+
+    It does so on connections that it has kept open after a complete answer, at
+    the point where the next answer is expected.
+    """
     refusals: list[bytes] = []
+    successes: list[bytes] = []
     kept: set[object] = set()
 
     def spoil(connection: object, answer: bytes) -> bytes:
         is_kept = connection in kept
         kept.add(connection)
         head = answer.partition(b'\r\n\r\n')[0]
-        if b'Not-Executed' in head:
-            refusals.append(head)
-            return answer
+        is_refusal = b'Not-Executed' in head
+        same = refusals if is_refusal else successes
+        earlier = [known[-1] for known in (refusals, successes) if known]
+        same.append(head)
         is_spoiled = random.random() < SPOILED_SHARE
-        if not (is_kept and refusals and is_spoiled):
+        if is_refusal or not (is_kept and earlier and is_spoiled):
             return answer
-        refusal = refusals[-1]
-        part = refusal[: random.randrange(1, len(refusal))]
+        copy = random.choice(earlier)
+        part = copy[: random.randrange(1, len(copy))]
         attempt = harness.attempt_of(answer)
         deployment.record('spoiled', attempt, added=part)
         return part + answer
@@ -95,10 +102,17 @@
     return runs
 
 
-async def send(
-    deployment: harness.Deployment, node: harness.Node
-) -> tuple[str, int]:
-    """Order one seal; return its attempt and the status of the answer."""
+@dataclasses.dataclass
+class Outcome:
+    """What a client got for one attempt; the status is 0 without an answer."""
+
+    attempt: str
+    status: int = 0
+    is_genuine: bool = True
+
+
+async def send(deployment: harness.Deployment, node: harness.Node) -> Outcome:
+    """Order one seal; return the outcome."""
     attempt = harness.attempt_id()
     headers = {
         'Host': 'kettle.example',
@@ -108,9 +122,20 @@
     deployment.record('sent', attempt, node=node.name)
     payload = harness.request_bytes('PUT', '/seal/k', headers, b's' * 1200)
     answer = await harness.call(node.outbound, payload, DEADLINE_S)
-    status = answer.status if answer else 0
-    deployment.record('answered', attempt, status=status)
-    return attempt, status
+    outcome = Outcome(attempt)
+    if answer is not None:
+        outcome.status = answer.status
+        seal = answer.headers.get('bilberryrail-response-seal')
+        expected = harness.seal_of(attempt, answer.status, answer.body)
+        is_success = 200 <= answer.status < 300
+        outcome.is_genuine = seal == expected or not (is_success or seal)
+    deployment.record(
+        'answered',
+        attempt,
+        status=outcome.status,
+        genuine=outcome.is_genuine,
+    )
+    return outcome
 
 
 async def play(deployment: harness.Deployment, has_trouble: bool) -> bool:
@@ -124,19 +149,23 @@
         node = deployment.nodes[index % SERVERS]
         sending.append(asyncio.create_task(send(deployment, node)))
         await asyncio.sleep(SEND_INTERVAL_S)
-    statuses = dict(await asyncio.gather(*sending))
-    twice = [attempt for attempt, count in runs.items() if count > 1]
-    refused = [
-        attempt
-        for attempt, status in statuses.items()
-        if status in PROMISES and runs[attempt]
-    ]
-    for attempt in twice:
-        deployment.record('TWICE', attempt, runs=runs[attempt])
-    for attempt in refused:
-        deployment.record('REFUSED', attempt, status=statuses[attempt])
-    deployment.record('result', twice=len(twice), refused=len(refused))
-    return not (twice or refused)
+    outcomes = await asyncio.gather(*sending)
+    broken = {
+        'TWICE': [one for one in outcomes if runs[one.attempt] > 1],
+        'REFUSED': [
+            one
+            for one in outcomes
+            if one.status in PROMISES and runs[one.attempt]
+        ],
+        'MIXED': [one for one in outcomes if not one.is_genuine],
+    }
+    for rule, found in broken.items():
+        for one in found:
+            count = runs[one.attempt]
+            deployment.record(rule, one.attempt, status=one.status, runs=count)
+    counts = {rule: len(found) for rule, found in broken.items()}
+    deployment.record('result', **counts)
+    return not any(counts.values())
 
 
 if __name__ == '__main__':
--- a/review/harness.py
+++ b/review/harness.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import contextlib
+import hashlib
 import http
 import json
 import os
@@ -74,7 +75,7 @@
     headers = {}
     for line in lines:
         name, _, text = line.partition(':')
-        headers[name.strip().lower()] = text.strip()
+        headers.setdefault(name.strip().lower(), text.strip())
     found = Message(start, headers)
     length = 0 if is_bodiless else int(headers.get('content-length', '0'))
     chunks = []
@@ -267,14 +268,14 @@
 
     def sealed(self, request: Message, status: int, body: bytes) -> bytes:
         """Format an answer with the server's seal."""
+        attempt = request.headers.get('bilberryrail-attempt-id', '')
         headers = {
-            'Bilberryrail-Attempt-Id': request.headers.get(
-                'bilberryrail-attempt-id', ''
-            ),
-            'Bilberryrail-Response-Seal': f'{self.instance}.{len(body)}',
+            'Bilberryrail-Response-Seal': seal_of(attempt, status, body),
+            **self.load,
+            'Bilberryrail-Attempt-Id': attempt,
             'Keep-Alive': 'timeout=10',
         }
-        return answer_bytes(status, headers | self.load, body)
+        return answer_bytes(status, headers, body)
 
     async def _serve(
         self, request: Message, writer: asyncio.StreamWriter
@@ -598,6 +599,12 @@
             await asyncio.sleep(1)
 
 
+def seal_of(attempt: str, status: int, body: bytes) -> str:
+    """Return the seal of an answer; it fits no other answer."""
+    sealed = f'{attempt} {status} '.encode() + body
+    return hashlib.blake2b(sealed, digest_size=12).hexdigest()
+
+
 def attempt_of(answer: bytes) -> str:
     """Return the id of the attempt that an answer names."""
     found = re.search(rb'(?i)attempt-id: (\S+)', answer)
