--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,171 +1,155 @@
-"""A broken-off copy of an earlier answer changes the next one on a connection.
+"""Uploads within the configured limit exceed the memory of the nodes.
 
-Rules TWICE, REFUSED and MIXED. Exits with 0 if all held, 1 if one was broken,
-2 if the case could not run. With ``TROUBLE=0`` no bytes are added to answers.
+Rule Fault: processes end by themselves three times on a tenth of the machines,
+two at least; memory over the limit counts. Exits with 0 if the rule held, 1 if
+it was broken, 2 if the case could not run. With ``TROUBLE=0`` the bodies are
+as small as those of the site.
 """
 
 import asyncio
-import collections
-import dataclasses
+import contextlib
 import pathlib
-import random
+import signal
 import sys
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import harness
 
 CASE = pathlib.Path(__file__).resolve().parent
-SERVERS = 5
-#: The site's garble: how "extra late", share 0.6, x 0.03. Three of five servers
-#: are faulty, and spoil this share of their answers.
-FAULTY_SERVERS = 3
-SPOILED_SHARE = 0.03
-#: Share of requests that a server refuses because it is full for a moment.
-FULL_SHARE = 0.02
-REQUESTS = 5000
-SEND_INTERVAL_S = 0.01
-DEADLINE_S = 3.0
-#: Statuses that promise that the request has not run and never will.
-PROMISES = (408, 421, 429, 503)
+#: Limit of a node's memory in the settings of the site, ``memory_mb``.
+MEMORY_MB = 300
+#: Ends of one machine's processes, and machines with so many, that break Fault.
+MAX_ENDS = 3
+MIN_MACHINES = 2
+#: Body of an upload, in bytes; the configuration allows 67,108,864.
+UPLOAD_BYTES = 60_000_000
+SMALL_BYTES = 24_000
+#: Uploads to one machine at the same time.
+CLIENTS = 3
+DEADLINE_S = 5.0
+LENGTH_S = 40.0
+#: Pause before the platform starts a process again, in seconds.
+RESTART_S = 0.5
+_CHUNK_BYTES = 262_144
 
 
 def make(case: pathlib.Path) -> harness.Deployment:
-    """Build four machines of one service."""
-    zones = [('izmir-a', 'ege'), ('manisa-b', 'ege')]
-    shape = [(*zones[index % 2], 'muhur') for index in range(SERVERS)]
+    """Build four machines; the clients are at the last two."""
+    shape = [
+        ('izmir-a', 'ege', 'basvuru'),
+        ('manisa-b', 'ege', 'basvuru'),
+        ('izmir-a', 'ege', 'sorgu'),
+        ('manisa-b', 'ege', 'sorgu'),
+    ]
     routes = {
-        'seal': {
+        'apply': {
             'host': 'kettle.example',
-            'path_prefix': '/seal/',
+            'path_prefix': '/apply/',
             'kind': 'unsafe',
-            'timeout': 1.5,
-            'target_latency': 0.5,
-            'priority': 0,
-            'service': 'muhur',
+            'timeout': DEADLINE_S,
+            'target_latency': 0.8,
+            'priority': 1,
+            'service': 'basvuru',
             'max_attempts': 2,
             'allowed_regions': [],
         }
     }
-    config = harness.configuration(routes, ['muhur'])
-    deployment = harness.Deployment(case, shape, config)
-    for worker in deployment.workers.values():
-        worker.refuses = lambda: random.random() < FULL_SHARE
-        worker.body_bytes = 400
-    return deployment
+    config = harness.configuration(routes, ['basvuru', 'sorgu'])
+    return harness.Deployment(case, shape, config)
 
 
-def make_faulty(
-    deployment: harness.Deployment, worker: harness.Worker
+def memory_mb(node: harness.Node) -> float:
+    """Return the resident memory of a node's process, in MB."""
+    path = pathlib.Path(f'/proc/{node.child.pid}/status')
+    with contextlib.suppress(OSError):
+        for line in path.read_text().splitlines():
+            if line.startswith('VmRSS:'):
+                return int(line.split()[1]) * 1024 / 1e6
+    return 0
+
+
+async def limit_memory(
+    deployment: harness.Deployment, node: harness.Node, ends: dict[str, int]
+) -> None:
+    """Kill a process over its limit, and start it again, as the platform."""
+    while True:
+        used_mb = memory_mb(node) if node.is_running else 0
+        is_over = used_mb > MEMORY_MB
+        if is_over:
+            node.send(signal.SIGKILL)
+        if is_over or not node.is_running:
+            node.child.wait()
+            ends[node.name] += 1
+            deployment.record(
+                'ended',
+                node=node.name,
+                used_mb=round(used_mb),
+                ends=ends[node.name],
+            )
+            await asyncio.sleep(RESTART_S)
+            node.start()
+        await asyncio.sleep(0.02)
+
+
+async def upload(
+    deployment: harness.Deployment, node: harness.Node, size: int
 ) -> None:
-    """Let a server write a part of an earlier answer before some answers.
-
-    It does so on connections that it has kept open after a complete answer, at
-    the point where the next answer is expected.
-    """
-    refusals: list[bytes] = []
-    successes: list[bytes] = []
-    kept: set[object] = set()
-
-    def spoil(connection: object, answer: bytes) -> bytes:
-        is_kept = connection in kept
-        kept.add(connection)
-        head = answer.partition(b'\r\n\r\n')[0]
-        is_refusal = b'Not-Executed' in head
-        same = refusals if is_refusal else successes
-        earlier = [known[-1] for known in (refusals, successes) if known]
-        same.append(head)
-        is_spoiled = random.random() < SPOILED_SHARE
-        if is_refusal or not (is_kept and earlier and is_spoiled):
-            return answer
-        copy = random.choice(earlier)
-        part = copy[: random.randrange(1, len(copy))]
-        attempt = harness.attempt_of(answer)
-        deployment.record('spoiled', attempt, added=part)
-        return part + answer
-
-    worker.spoil = spoil
-
-
-def watch_runs(deployment: harness.Deployment) -> collections.Counter[str]:
-    """Return how often servers have begun to run each attempt."""
-    runs: collections.Counter[str] = collections.Counter()
-    record = deployment.record
-
-    def recorded(event: str, attempt: str = '-', **fields: object) -> None:
-        record(event, attempt, **fields)
-        if event == 'run':
-            runs[attempt] += 1
-
-    for worker in deployment.workers.values():
-        worker.record = recorded
-    return runs
-
-
-@dataclasses.dataclass
-class Outcome:
-    """What a client got for one attempt; the status is 0 without an answer."""
-
-    attempt: str
-    status: int = 0
-    is_genuine: bool = True
-
-
-async def send(deployment: harness.Deployment, node: harness.Node) -> Outcome:
-    """Order one seal; return the outcome."""
+    """Send one application with a body of a size."""
     attempt = harness.attempt_id()
-    headers = {
-        'Host': 'kettle.example',
-        'Bilberryrail-Attempt-Id': attempt,
-        'Bilberryrail-Deadline-Ms': str(int(DEADLINE_S * 1000)),
-    }
-    deployment.record('sent', attempt, node=node.name)
-    payload = harness.request_bytes('PUT', '/seal/k', headers, b's' * 1200)
-    answer = await harness.call(node.outbound, payload, DEADLINE_S)
-    outcome = Outcome(attempt)
-    if answer is not None:
-        outcome.status = answer.status
-        seal = answer.headers.get('bilberryrail-response-seal')
-        expected = harness.seal_of(attempt, answer.status, answer.body)
-        is_success = 200 <= answer.status < 300
-        outcome.is_genuine = seal == expected or not (is_success or seal)
-    deployment.record(
-        'answered',
-        attempt,
-        status=outcome.status,
-        genuine=outcome.is_genuine,
+    head = (
+        'POST /apply/drawings HTTP/1.1\r\nHost: kettle.example\r\n'
+        f'Bilberryrail-Attempt-Id: {attempt}\r\n'
+        f'Bilberryrail-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n'
+        f'Content-Length: {size}\r\n\r\n'
     )
-    return outcome
+    deployment.record('sent', attempt, node=node.name, bytes=size)
+    answer = None
+    writer = None
+    chunk = b'd' * _CHUNK_BYTES
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(DEADLINE_S):
+            reader, writer = await asyncio.open_connection(*node.outbound)
+            writer.write(head.encode())
+            while size:
+                writer.write(chunk[:size])
+                size -= min(size, len(chunk))
+                await writer.drain()
+            answer = await harness.read_message(reader)
+    if writer is not None:
+        writer.transport.abort()
+    status = answer.status if answer else 'none'
+    deployment.record('answered', attempt, status=status)
 
 
 async def play(deployment: harness.Deployment, has_trouble: bool) -> bool:
-    """Send orders to all nodes in turn; return whether the rules held."""
-    runs = watch_runs(deployment)
-    if has_trouble:
-        for worker in list(deployment.workers.values())[:FAULTY_SERVERS]:
-            make_faulty(deployment, worker)
-    sending = []
-    for index in range(REQUESTS):
-        node = deployment.nodes[index % SERVERS]
-        sending.append(asyncio.create_task(send(deployment, node)))
-        await asyncio.sleep(SEND_INTERVAL_S)
-    outcomes = await asyncio.gather(*sending)
-    broken = {
-        'TWICE': [one for one in outcomes if runs[one.attempt] > 1],
-        'REFUSED': [
-            one
-            for one in outcomes
-            if one.status in PROMISES and runs[one.attempt]
-        ],
-        'MIXED': [one for one in outcomes if not one.is_genuine],
-    }
-    for rule, found in broken.items():
-        for one in found:
-            count = runs[one.attempt]
-            deployment.record(rule, one.attempt, status=one.status, runs=count)
-    counts = {rule: len(found) for rule, found in broken.items()}
-    deployment.record('result', **counts)
-    return not any(counts.values())
+    """Upload at two machines; return whether Fault held."""
+    size = UPLOAD_BYTES if has_trouble else SMALL_BYTES
+    ends = {node.name: 0 for node in deployment.nodes}
+    for node in deployment.nodes:
+        watch = limit_memory(deployment, node, ends)
+        deployment.tasks.append(asyncio.create_task(watch))
+    clients = deployment.nodes[-MIN_MACHINES:]
+    began_at = time.monotonic()
+    while time.monotonic() - began_at < LENGTH_S and not is_broken(ends):
+        ready = [node for node in clients if await deployment.is_ready(node)]
+        await asyncio.gather(
+            *(
+                upload(deployment, node, size)
+                for node in ready
+                for _ in range(CLIENTS)
+            )
+        )
+        await asyncio.sleep(0.5)
+    deployment.record('result', **ends)
+    return not is_broken(ends)
+
+
+def is_broken(ends: dict[str, int]) -> bool:
+    """Return whether the ends of processes break the rule."""
+    count = sum(number >= MAX_ENDS for number in ends.values())
+    return count >= max(MIN_MACHINES, len(ends) / 10)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Runs the case. TROUBLE=0 leaves out the disruption. Exit code: 1 if the rule
+# was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" && exec python3 case.py
--- a/review/harness.py
+++ b/review/harness.py
@@ -15,6 +15,7 @@
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -568,6 +569,7 @@
             node.send(signal.SIGKILL)
             if node.child is not None:
                 node.child.wait()
+        shutil.rmtree(self.folder)
         self.record_file.close()
 
     async def is_ready(self, node: Node) -> bool:
@@ -657,11 +659,15 @@
 
     async def run() -> int:
         deployment = make(case)
+        # The processes of the nodes are ended also if the script is stopped.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         try:
             async with asyncio.timeout(110):
                 await deployment.start()
                 has_held = await play(deployment, has_trouble)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             # An error of the script shows nothing about the rule.
             deployment.record('not-run', reason=repr(error))
             traceback.print_exc()
