--- a/review/harness.py
+++ b/review/harness.py
@@ -33,6 +33,8 @@
 GRACE_S = 6.0
 CONTROL_PREFIX = '/bilberryrail/instances/'
 Headers = dict[str, str]
+#: Connections that the stand-ins have open.
+_OPEN: set[asyncio.StreamWriter] = set()
 
 
 class SetupError(Exception):
@@ -127,6 +129,7 @@
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        _OPEN.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.CancelledError):
             while True:
                 request = await read_message(reader)
@@ -134,11 +137,11 @@
                     break
                 answer = await handler(request, writer)
                 if answer is None:
-                    writer.transport.abort()
-                    return
+                    break
                 writer.write(answer)
                 await writer.drain()
-        writer.close()
+        _OPEN.discard(writer)
+        writer.transport.abort()
 
     return await asyncio.start_server(serve, host, port, limit=2**20)
 
@@ -147,7 +150,6 @@
     """The platform's log with keyed topics, as PROTOCOL.md describes it."""
 
     def __init__(self, host: str, port: int) -> None:
-        self.address = f'{host}:{port}'
         self.host, self.port = host, port
         self.topics: dict[str, list[bytes]] = {}
         self.changed = asyncio.Condition()
@@ -223,6 +225,50 @@
     return records
 
 
+class Proxy:
+    """Forwards connections; those that are open may go silent for good."""
+
+    def __init__(self, host: str, port: int, target: tuple[str, int]) -> None:
+        self.host, self.port, self.target = host, port, target
+        self.silent: set[asyncio.StreamWriter] = set()
+        self.open: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Start to accept connections."""
+        self.server = await asyncio.start_server(
+            self._serve, self.host, self.port
+        )
+
+    def silence(self) -> None:
+        """Forward nothing more on the present connections; keep them open."""
+        self.silent |= self.open
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        back, forth = await asyncio.open_connection(*self.target)
+        ends = {writer, forth}
+        _OPEN.update(ends)
+        self.open |= ends
+        await asyncio.gather(
+            self._copy(reader, forth), self._copy(back, writer)
+        )
+        self.open -= ends
+        _OPEN.difference_update(ends)
+        for end in ends:
+            end.close()
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while received := await reader.read(65536):
+                if writer not in self.silent:
+                    writer.write(received)
+        if writer not in self.silent:
+            writer.close()
+
+
 class Worker:
     """A backend server that behaves as PROTOCOL.md says.
 
@@ -510,9 +556,18 @@
         self.store = Store(store_ip, free_ports(store_ip, 1)[0])
         self.config = config
         self.nodes = []
+        self.proxies = []
         names = ('app', 'outbound', 'ready', 'control', 'links')
         for index, (zone, region, service) in enumerate(shape):
             ip = f'127.{octet}.1.{10 + index}'
+            proxy_ip = f'127.{octet}.249.{10 + index}'
+            self.proxies.append(
+                Proxy(
+                    proxy_ip,
+                    free_ports(proxy_ip, 1)[0],
+                    (self.store.host, self.store.port),
+                )
+            )
             ports = dict(zip(names, free_ports(ip, len(names)), strict=True))
             self.nodes.append(
                 Node(
@@ -522,7 +577,7 @@
                     region,
                     service,
                     ports,
-                    self.store.address,
+                    f'{proxy_ip}:{self.proxies[-1].port}',
                     self.folder,
                 )
             )
@@ -545,6 +600,8 @@
     async def start(self) -> None:
         """Start everything and wait until all nodes are ready and linked."""
         await self.store.start()
+        for proxy in self.proxies:
+            await proxy.start()
         raw = json.dumps(self.config).encode()
         await self.store.write('keyed.op', 'config', raw)
         for node in self.nodes:
@@ -562,13 +619,19 @@
 
     async def stop(self) -> None:
         """End all processes that the case has started."""
-        for task in self.tasks:
-            task.cancel()
         for node in self.nodes:
             node.send(signal.SIGCONT)
             node.send(signal.SIGKILL)
             if node.child is not None:
                 node.child.wait()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for writer in tuple(_OPEN):
+            writer.transport.abort()
+        # Lets the transports close before the loop does.
+        await asyncio.sleep(0.1)
         shutil.rmtree(self.folder)
         self.record_file.close()
 
