Show that answers without end end the node beside their server

LOST: rejected answers stay in memory until the garbage collector runs, so the node exceeds its 300 MB, and orders at sound servers end without an answer.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,17 +15,17 @@
 import harness
 
 CASE = pathlib.Path(__file__).resolve().parent
-#: Figures of the site's class cert-lookup: usual and longest work, in seconds.
-USUAL_WORK_S = 0.16
-LONGEST_WORK_S = 1.2
+#: Figures of the site's class stock-check: usual and longest work, in seconds.
+USUAL_WORK_S = 0.15
+LONGEST_WORK_S = 1.1
 TIMEOUT_S = 2.0
-TARGET_LATENCY_S = 0.6
+TARGET_LATENCY_S = 0.4
 DEADLINE_S = 4.0
 #: Interval at which the clients of the node send, in seconds.
 SEND_INTERVAL_S = 0.05
 #: Times after SIGTERM at which a lookup is sent that takes the longest time.
-LONG_AT_S = (4.50, 4.57, 4.64, 4.71)
-LONG_PATH = '/lookup/maker-with-many-kettles'
+LONG_AT_S = (4.60, 4.66, 4.72, 4.78)
+LONG_PATH = '/stock/all-papers'
 WARM_UP_S = 3.0
 #: Connections that a client opens for one lookup at most.
 MAX_SENDS = 3
@@ -38,25 +38,25 @@
 def make(case: pathlib.Path) -> harness.Deployment:
     """Build two zones with two machines each."""
     shape = [
-        ('izmir-a', 'ege', 'sorgu'),
-        ('izmir-a', 'ege', 'sorgu'),
-        ('manisa-b', 'ege', 'sorgu'),
-        ('manisa-b', 'ege', 'sorgu'),
+        ('krakow-a', 'pl-south', 'magazyn'),
+        ('krakow-a', 'pl-south', 'magazyn'),
+        ('krakow-b', 'pl-south', 'magazyn'),
+        ('krakow-b', 'pl-south', 'magazyn'),
     ]
     routes = {
-        'lookup': {
-            'host': 'kettle.example',
-            'path_prefix': '/lookup/',
+        'stock': {
+            'host': 'lantern.example',
+            'path_prefix': '/stock/',
             'kind': 'safe',
             'timeout': TIMEOUT_S,
             'target_latency': TARGET_LATENCY_S,
             'priority': 2,
-            'service': 'sorgu',
+            'service': 'magazyn',
             'max_attempts': 2,
             'allowed_regions': [],
         }
     }
-    config = harness.configuration(routes, ['sorgu'])
+    config = harness.configuration(routes, ['magazyn'])
     deployment = harness.Deployment(case, shape, config)
     for worker in deployment.workers.values():
         worker.work_s = work_s
@@ -75,7 +75,7 @@
     """Send one lookup; return whether LOST held, and if it was not read."""
     attempt = harness.attempt_id()
     headers = {
-        'Host': 'kettle.example',
+        'Host': 'lantern.example',
         'Bilberryrail-Attempt-Id': attempt,
         'Bilberryrail-Deadline-Ms': str(int(DEADLINE_S * 1000)),
     }
@@ -114,7 +114,7 @@
         for after_s in LONG_AT_S
     ]
     while time.monotonic() < began_at + LONG_AT_S[-1]:
-        lookup = send_at(deployment, first, '/lookup/kettle', 0)
+        lookup = send_at(deployment, first, '/stock/paper', 0)
         sending.append(asyncio.create_task(lookup))
         await asyncio.sleep(SEND_INTERVAL_S)
     held = await asyncio.gather(*sending)
--- a/review/harness.py
+++ b/review/harness.py
@@ -35,6 +35,8 @@
 Headers = dict[str, str]
 #: Connections that the stand-ins have open.
 _OPEN: set[asyncio.StreamWriter] = set()
+#: Written again and again by a server whose answers do not end.
+_ENDLESS = b'z' * 65536
 
 
 class SetupError(Exception):
@@ -274,7 +276,8 @@
 
     ``run`` may be replaced; it gets the request and returns the answer. So may
     ``refuses``, which says whether the server is full, and ``spoil``, which
-    gets the connection and the bytes that are written to it.
+    gets the connection and the bytes that are written to it. While
+    ``never_ends`` is true, its answers have no length and no end.
     """
 
     def __init__(self, node: 'Node', record: Callable[..., None]) -> None:
@@ -291,6 +294,7 @@
         self.refuses: Callable[[], bool] = self.is_full
         self.spoil: Callable[[object, bytes], bytes] = lambda _, answer: answer
         self.body_bytes = 1500
+        self.never_ends = False
 
     async def start(self) -> None:
         """Start to serve and to send heartbeats."""
@@ -359,10 +363,29 @@
                     self.record('dropped', attempt, worker=self.instance)
                     return None
             self.record('done', attempt, worker=self.instance)
+            if self.never_ends:
+                await self._write_without_end(request, writer)
+                return None
             return self.spoil(writer, run.result())
         finally:
             self.running -= 1
 
+    async def _write_without_end(
+        self, request: Message, writer: asyncio.StreamWriter
+    ) -> None:
+        """Write an answer without a length until the connection is closed."""
+        attempt = request.headers.get('bilberryrail-attempt-id', '')
+        lines = [
+            'HTTP/1.1 200 OK',
+            f'Bilberryrail-Attempt-Id: {attempt}',
+            '',
+            '',
+        ]
+        writer.write('\r\n'.join(lines).encode())
+        while True:
+            writer.write(_ENDLESS)
+            await writer.drain()
+
     async def _send_heartbeats(self) -> None:
         while True:
             self.sequence += 1
