Continue tasks of a node after an unexpected error

What operators saw: after one odd record in the store no node followed it any more, until it was restarted.

Cause: StoreHealth.run only logged an unexpected error; the coroutine that reads the store, or announces the node, had ended then. The checks of links and of idle connections scheduled their next call last, so one error ended them too. A message or a request whose handler failed ended its connection, with all that was in flight there.

Supervisor starts a failed task again after a second, PeriodicTask schedules its next call first, and both log task_failed. A message whose handler fails is logged and dropped; a request is answered 502, which does not say whether it has run.

--- a/packages/gateway/bilberryrail/gateway/announcer.py
+++ b/packages/gateway/bilberryrail/gateway/announcer.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
 
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.operators import OperatorState
@@ -13,6 +14,7 @@
 from bilberryrail.gateway.backoff import Backoff, jittered
 from bilberryrail.gateway.store import Store, StoreError
 from bilberryrail.gateway.store_health import StoreHealth
+from bilberryrail.gateway.tasks import Supervisor, log_failure
 
 #: Interval at which the list of nodes is read, in seconds. It can be long
 #: because nodes announce themselves over links; the list only adds nodes that
@@ -68,32 +70,36 @@
         self.membership = membership
         self.health = health
         self.must_read = must_read
-        self.is_stopped = False
+        self.task = Supervisor(reactor, self._follow_members, health.log)
+        self.renewal = Supervisor(reactor, self._renew, health.log)
         self.is_renewing = False
         self.announced_era: StoreEra | None = None
         self.on_peers: Callable[[list[Peer]], object] = _ignore
 
     def start(self) -> None:
         """Announce this node, and read the announcements of others."""
-        self.health.run(self._follow_members())
+        self.task.start()
 
     def stop(self) -> None:
         """Make no further calls."""
-        self.is_stopped = True
+        self.task.stop()
+        self.renewal.stop()
 
     def announce(self) -> 'Deferred[bool]':
         """Write this node's newest announcement to the store, with retries.
 
         The Deferred fires with true once the store has acknowledged it, and
-        with false if the process stops before that.
+        with false if the process stops before that, or if the announcement
+        cannot be written.
         """
-        return ensureDeferred(self._announce())
+        written: Deferred[bool] = ensureDeferred(self._announce())
+        return written.addErrback(self._announce_failed)
 
     def renew(self) -> None:
         """Announce this node again if a restored store has lost this."""
         if self._is_announcement_lost and not self.is_renewing:
             self.is_renewing = True
-            self.health.run(self._renew())
+            self.renewal.start()
 
     @property
     def _is_announcement_lost(self) -> bool:
@@ -102,7 +108,7 @@
 
     async def _renew(self) -> None:
         spread_s = len(self.membership.peers) / RENEWALS_PER_S
-        while self._is_announcement_lost and not self.is_stopped:
+        while self._is_announcement_lost and not self.task.is_stopped:
             await deferLater(self.reactor, spread_s * self.random.random())
             await self._announce()
         self.is_renewing = False
@@ -111,7 +117,7 @@
 
     async def _announce(self) -> bool:
         backoff = self._backoff()
-        while not self.is_stopped:
+        while not self.task.is_stopped:
             try:
                 era = await self.store.announce(self.membership.own)
             except StoreError as error:
@@ -123,6 +129,10 @@
                 return True
         return False
 
+    def _announce_failed(self, failure: Failure) -> bool:
+        log_failure(self.health.log, failure)
+        return False
+
     async def _follow_members(self) -> None:
         # The announcement replaces the record of this node's earlier process,
         # which may say that its backend server has left.
@@ -131,7 +141,7 @@
         # the same time at least one sees the other.
         await self._announce()
         await self._read_members()
-        while not self.is_stopped:
+        while not self.task.is_stopped:
             pause_s = jittered(self.random, MEMBERS_INTERVAL_S)
             await deferLater(self.reactor, pause_s)
             if self.must_read():
@@ -140,7 +150,7 @@
     async def _read_members(self) -> None:
         """Read all announcements, with retries."""
         backoff = self._backoff()
-        while not self.is_stopped:
+        while not self.task.is_stopped:
             try:
                 peers = await self.store.announcements()
             except StoreError as error:
--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -17,6 +17,7 @@
     TrimmedError,
 )
 from bilberryrail.gateway.store_health import StoreHealth
+from bilberryrail.gateway.tasks import Supervisor
 
 #: Longest wait for new records in one call, in seconds. It is long because each
 #: call is paid for; keep-alive probes detect a silent connection much sooner.
@@ -64,21 +65,21 @@
         self.health = health
         self.log = health.log
         self.must_read = must_read
-        self.is_stopped = False
+        self.task = Supervisor(reactor, self._follow, health.log)
         self.on_operators: Callable[[], None] = _ignore
 
     def start(self) -> None:
         """Read the operators' state, and follow its changes."""
-        self.health.run(self._follow())
+        self.task.start()
 
     def stop(self) -> None:
         """Make no further calls."""
-        self.is_stopped = True
+        self.task.stop()
 
     async def _follow(self) -> None:
         has_state = False
         backoff = Backoff(self.random, RETRY_S, MAX_RETRY_S)
-        while not self.is_stopped:
+        while not self.task.is_stopped:
             try:
                 if has_state and not self.must_read():
                     pause_s = jittered(self.random, READER_CHECK_INTERVAL_S)
--- a/packages/gateway/bilberryrail/gateway/health_checker.py
+++ b/packages/gateway/bilberryrail/gateway/health_checker.py
@@ -15,6 +15,7 @@
 from bilberryrail.gateway.dialect import Dialect
 from bilberryrail.gateway.http_channel import ChannelError, HttpChannel
 from bilberryrail.gateway.settings import Address
+from bilberryrail.gateway.tasks import PeriodicTask
 
 #: Interval of health checks, in seconds; each check is paid for.
 INTERVAL_S: Final = 0.2
@@ -54,10 +55,12 @@
         self.channel = self._open()
         self.on_checked: Callable[[], None] = target.process_queue
         self.is_running = False
+        self.ticks = PeriodicTask(reactor, INTERVAL_S, self.check_now, log)
 
     def start(self) -> None:
         """Start the periodic checks."""
-        self._tick()
+        self.ticks.start()
+        self.check_now()
 
     def check_now(self) -> None:
         """Start a health check unless one is running or no path is known."""
@@ -84,10 +87,6 @@
             MAX_ANSWER_BYTES,
         )
 
-    def _tick(self) -> None:
-        self.reactor.callLater(INTERVAL_S, self._tick)
-        self.check_now()
-
     async def _check(self, path: str) -> None:
         backend = self.target.backend
         was_down = backend.down
--- a/packages/gateway/bilberryrail/gateway/http_server.py
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -8,6 +8,7 @@
 
 import httptools
 from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
 
 from bilberryrail.forwarding.records import (
     ClientLimits,
@@ -18,6 +19,7 @@
 from bilberryrail.gateway import sockets
 from bilberryrail.gateway.framing import Framing, FramingError
 from bilberryrail.gateway.http_text import answer_bytes, end_to_end
+from bilberryrail.gateway.tasks import PeriodicTask, log_failure
 
 #: Requests of one connection that are served at the same time; beyond that
 #: number the connection is not read.
@@ -209,7 +211,15 @@
             slot.answer = answer
             self._flush()
 
-        slot.abandon = self.server.service.serve(request, self.host, respond)
+        try:
+            slot.abandon = self.server.service.serve(
+                request, self.host, respond
+            )
+        except Exception:
+            log_failure(self.server.log, Failure())
+            if slot.answer is None:
+                # The request may have been passed on before the error.
+                respond(HttpAnswer(HTTPStatus.BAD_GATEWAY, is_own=True))
         if len(self.slots) >= MAX_PIPELINED and not self.is_paused:
             self.is_paused = True
             self.transport.pauseProducing()
@@ -298,7 +308,10 @@
         self.limits = ClientLimits()
         self.connections: set[ServerConnection] = set()
         self.is_closing = False
-        self.reactor.callLater(IDLE_CHECK_S, self._check_idle)
+        self.idle_check = PeriodicTask(
+            reactor, IDLE_CHECK_S, self._check_idle, log
+        )
+        self.idle_check.start()
 
     def buildProtocol(self, addr: Any) -> ServerConnection:  # noqa: N802
         """Create the protocol of an accepted connection."""
@@ -314,4 +327,3 @@
         now = self.reactor.seconds()
         for connection in tuple(self.connections):
             connection.check_idle(now)
-        self.reactor.callLater(IDLE_CHECK_S, self._check_idle)
--- a/packages/gateway/bilberryrail/gateway/http_server_test.py
+++ b/packages/gateway/bilberryrail/gateway/http_server_test.py
@@ -233,3 +233,20 @@
         bench.send(get(b'/1', b'X: %b\r\n' % (b'x' * 100)))
         bench.service.responds[-1](HttpAnswer(200))
     assert len(bench.service.requests) == 2000
+
+
+def test_request_whose_service_fails_is_answered(bench):
+    # Guards against a client that gets no answer because of an unexpected error,
+    # and against a promise that the request has not run.
+    serve = bench.service.serve
+
+    def fail(*_):
+        raise OverflowError
+
+    bench.service.serve = fail
+    bench.send(get(b'/1'))
+    assert bench.written().startswith(b'HTTP/1.1 502 ')
+    bench.service.serve = serve
+    bench.send(get(b'/2'))
+    bench.service.responds[0](HttpAnswer(200))
+    assert bench.written().count(b'HTTP/1.1 200 ') == 1
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -1,6 +1,7 @@
 """One connection to another node."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 from typing import Protocol as Interface
 
@@ -15,6 +16,7 @@
     Compressor,
     Decompressor,
 )
+from bilberryrail.gateway.tasks import guard
 from bilberryrail.gateway.traffic import Place, Traffic
 
 #: Largest message after Hello, in bytes; it holds the largest body that clients
@@ -179,7 +181,11 @@
             self.pending.discard(message.attempt)
         elif isinstance(message, messages.Forward):
             self.forwarded_at = self.received_at
-        self.links.events.received(self, message)
+        # An odd message of one peer must not end its link, and with it all the
+        # requests that are in flight there.
+        guard(
+            partial(self.links.events.received, self, message), self.links.log
+        )
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
         """Close the link because the peer announced too long a message."""
--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -17,6 +17,7 @@
 from bilberryrail.forwarding.records import Peer
 from bilberryrail.gateway.link import Link, LinkEvents
 from bilberryrail.gateway.sockets import SingleConnectionFactory
+from bilberryrail.gateway.tasks import PeriodicTask
 from bilberryrail.gateway.traffic import Traffic
 
 #: Timeout for opening a link, in seconds; a round trip between regions takes
@@ -117,7 +118,10 @@
         self.incoming: dict[NodeId, Link] = {}
         self.is_closed = False
         self.acceptor = _LinkAcceptor(self)
-        self._check_links()
+        self.silence_check = PeriodicTask(
+            reactor, CHECK_INTERVAL_S, self._check_links, log
+        )
+        self.silence_check.start()
 
     def update_peers(self, peers: Iterable[Peer]) -> None:
         """Set the nodes that this node may have links to.
@@ -196,6 +200,7 @@
     def close(self) -> None:
         """Close all links."""
         self.is_closed = True
+        self.silence_check.stop()
         for link in tuple(self.incoming.values()):
             link.transport.loseConnection()
         for outgoing in self.outgoing.values():
@@ -327,8 +332,6 @@
         for outgoing in tuple(self.outgoing.values()):
             if outgoing.link is not None and outgoing.link.is_up:
                 outgoing.link.check_silence(now)
-        if not self.is_closed:
-            self.reactor.callLater(CHECK_INTERVAL_S, self._check_links)
 
 
 def choose_persistent(
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -279,3 +279,20 @@
     bench.reactor.pump(repeat(0.1, 20))
     assert not link.transport.disconnecting
     assert ('closed', 'n2') not in bench.events.log
+
+
+def test_message_that_cannot_be_handled_does_not_end_the_link(bench):
+    # Guards against an odd message that ends all requests in flight on a link,
+    # again after each new connection.
+    link = bench.dial()
+
+    def fail(*_):
+        raise OverflowError
+
+    received = bench.events.received
+    bench.events.received = fail
+    bench.deliver(link, messages.Load(BackendLoad()))
+    bench.events.received = received
+    bench.deliver(link, messages.Load(BackendLoad()))
+    assert ('received', 'n2', 'Load') in bench.events.log
+    assert not link.transport.disconnecting
--- a/packages/gateway/bilberryrail/gateway/settings_watch.py
+++ b/packages/gateway/bilberryrail/gateway/settings_watch.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from bilberryrail.gateway.settings import GatewaySettings, read_settings
+from bilberryrail.gateway.tasks import PeriodicTask
 
 #: Interval at which the settings file is checked, in seconds; it may change
 #: without a signal to the process.
@@ -35,10 +36,11 @@
         self.log = log
         self.on_changed: Callable[[GatewaySettings], None] | None = None
         self._last_stamp = self._file_stamp()
+        self.check = PeriodicTask(reactor, CHECK_INTERVAL_S, self._check, log)
 
     def start(self) -> None:
         """Start to check the file periodically."""
-        self.reactor.callLater(CHECK_INTERVAL_S, self._check)
+        self.check.start()
 
     def reload(self) -> None:
         """Read the settings again; keep the current ones if they are invalid.
@@ -59,7 +61,6 @@
             self.on_changed(settings)
 
     def _check(self) -> None:
-        self.reactor.callLater(CHECK_INTERVAL_S, self._check)
         if self._file_stamp() != self._last_stamp:
             self.reload()
 
--- a/packages/gateway/bilberryrail/gateway/store_health.py
+++ b/packages/gateway/bilberryrail/gateway/store_health.py
@@ -1,9 +1,6 @@
-"""Tracks whether the store answers, and runs the tasks that call it."""
+"""Tracks whether the store answers."""
 
-from collections.abc import Callable, Coroutine
-from typing import Any
-
-from twisted.internet.defer import ensureDeferred
+from collections.abc import Callable
 
 from bilberryrail.forwarding.records import StoreEra
 from bilberryrail.gateway.metrics import Metrics
@@ -39,13 +36,3 @@
         if self.is_reachable:
             self.is_reachable = False
             self.log('store_lost', call=kind, reason=str(error))
-
-    def run(self, task: Coroutine[Any, Any, None]) -> None:
-        """Run a task that calls the store; log an error that it raises."""
-        running = ensureDeferred(task)
-        running.addErrback(
-            lambda failure: self.log(
-                'task_failed',
-                reason=failure.getTraceback(),
-            ),
-        )
--- a/packages/gateway/bilberryrail/gateway/traffic.py
+++ b/packages/gateway/bilberryrail/gateway/traffic.py
@@ -7,6 +7,7 @@
 
 from bilberryrail.forwarding.records import Peer
 from bilberryrail.gateway.metrics import Metrics
+from bilberryrail.gateway.tasks import PeriodicTask
 
 #: Interval at which the sums are reported and reset, in seconds.
 REPORT_INTERVAL_S: Final = 10.0
@@ -42,10 +43,11 @@
         self.metrics = metrics
         self.log = log
         self.sums: Counter[tuple[Place, str]] = Counter()
+        self.report = PeriodicTask(clock, REPORT_INTERVAL_S, self._report, log)
 
     def start(self) -> None:
         """Start to report the sums periodically."""
-        self.clock.callLater(REPORT_INTERVAL_S, self._report)
+        self.report.start()
 
     def sent(self, peer: Peer | None, cause: str, size: int) -> None:
         """Count the bytes of one message."""
@@ -63,7 +65,6 @@
 
     def _report(self) -> None:
         """Log one line per place with its sums, then reset them."""
-        self.clock.callLater(REPORT_INTERVAL_S, self._report)
         for place in Place:
             causes = {
                 cause: size
