Reject numbers that cannot be passed on

What operators saw: after a heartbeat with a very large number its node could not announce itself any more. The same holds for a load header, whose report travels with each answer: the answers of the node did not reach their clients.

Cause: msgspec decodes integers of any size from JSON, but MessagePack holds 64 bits, so encoding fails each time later. Numbers that are not finite spoil estimates for good, and cannot be converted to milliseconds. A value that is nested deeply makes the decoders raise RecursionError, which nobody expected of them.

bounds.py has the types of all numbers that come from others: records, messages, heartbeats, load headers and configurations use them, so a number is rejected where it is read. What a node itself computes is limited to the same bounds before it is sent.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from bilberryrail.core.ids import Seconds, ServiceId
+from bilberryrail.forwarding.bounds import MAX_RATIO
 from bilberryrail.forwarding.cold import ColdLimiter
 from bilberryrail.forwarding.crash_watch import CrashWatch, RunningRequest
 from bilberryrail.forwarding.load_report import (
@@ -266,14 +267,16 @@
             running=self.occupancy(now),
             waiting=waiting,
             limit=self.limit() if self.is_usable(now) else 0,
-            slowdown=round(self.slowdown(now), 2),
+            slowdown=min(round(self.slowdown(now), 2), MAX_RATIO),
             service_s=round(self.service_time.usual_s(), 4),
             error_share=round(self.errors.at(now), 3),
             memory_s=round(self.service_time.reported_slowdown.memory_s, 3),
             pause_s=round(
                 self.service_time.reported_slowdown.remaining_slow_s(now), 3
             ),
-            calm_slowdown=round(self.service_time.residual_slowdown(now), 2),
+            calm_slowdown=min(
+                round(self.service_time.residual_slowdown(now), 2), MAX_RATIO
+            ),
             rate_limit=self.statements.known_rate_limit,
             rate_credit=round(self.statements.rate.credit(waiting, now), 2),
         )
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -7,6 +7,7 @@
 from typing import Any, Final, Protocol
 
 from bilberryrail.core.ids import AttemptId, NodeId, RegionId, Seconds
+from bilberryrail.forwarding.bounds import MAX_DURATION_S
 from bilberryrail.forwarding.exchanges import (
     Attempt,
     AttemptTable,
@@ -454,7 +455,7 @@
     is_far = choice.candidate.peer.region != own_region
     if is_far or len(exchange.busy) >= _MAX_BUSY_REFUSALS:
         return 0
-    return choice.next_best_s * MAX_ANSWER_FACTOR
+    return min(choice.next_best_s * MAX_ANSWER_FACTOR, MAX_DURATION_S)
 
 
 def refusal_answer(retry_after_s: float, random: Random) -> HttpAnswer:
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bilberryrail.core.ids import AttemptId, AvailabilityZoneId, NodeId
+from bilberryrail.forwarding.bounds import Count, Duration, Number
 from bilberryrail.forwarding.records import (
     NO_FINGERPRINT,
     BackendLoad,
@@ -85,10 +86,10 @@
     request_id: str
     route: RouteId
     request: HttpRequest
-    remaining_s: float
-    target_latency_left_s: float
-    max_answer_s: float
-    priority: int
+    remaining_s: Duration
+    target_latency_left_s: Duration
+    max_answer_s: Duration
+    priority: Number
     idempotent: bool
     fingerprint: Fingerprint = NO_FINGERPRINT
     is_trial: bool = False
@@ -112,7 +113,7 @@
     attempt: AttemptId
     answer: HttpAnswer
     load: BackendLoad
-    usual_s: float = 0
+    usual_s: Duration = 0
 
 
 class Refused(msgspec.Struct, array_like=True, tag=5):
@@ -120,7 +121,7 @@
 
     attempt: AttemptId
     reason: Refusal
-    retry_after_s: float
+    retry_after_s: Duration
     load: BackendLoad | None
 
 
@@ -165,7 +166,7 @@
         Version of the sender's configuration; zero if it has none.
     """
 
-    offset: int
+    offset: Count
     version_sum: int
     is_reader: bool = False
     era: StoreEra = StoreEra(0)
@@ -205,7 +206,7 @@
         are not in ``zones_out``.
     """
 
-    offset: int
+    offset: Count
     config: TrafficConfig | None
     zones_out: tuple[AvailabilityZoneId, ...]
     era: StoreEra = StoreEra(0)
@@ -239,6 +240,9 @@
     | OperatorSnapshot
 )
 
+#: A very deeply nested value makes the decoder raise ``RecursionError``.
+_DECODE_ERRORS: Final = (msgspec.MsgspecError, ValueError, RecursionError)
+
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(Message)
 _PEER_DECODER: Final = msgspec.msgpack.Decoder(Peer)
@@ -257,7 +261,7 @@
     """Decode a message; raise ``MessageError`` if it is not valid."""
     try:
         return _DECODER.decode(payload)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _DECODE_ERRORS as error:
         raise MessageError(str(error)) from error
 
 
@@ -270,5 +274,5 @@
     """Decode a node's announcement; raise ``MessageError`` if not valid."""
     try:
         return _PEER_DECODER.decode(payload)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _DECODE_ERRORS as error:
         raise MessageError(str(error)) from error
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -12,6 +12,18 @@
     RegionId,
     ServiceId,
 )
+from bilberryrail.forwarding.bounds import (
+    Count,
+    Credit,
+    Duration,
+    Number,
+    Port,
+    Rate,
+    Ratio,
+    Share,
+    UnixMs,
+    Weight,
+)
 
 RouteId = NewType('RouteId', str)
 
@@ -52,7 +64,7 @@
     """A service that receives a share of a route's requests."""
 
     service: ServiceId
-    weight: float = 1
+    weight: Weight = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,10 +95,10 @@
     prefix: str
     idempotent: bool
     parts: tuple[Part, ...]
-    timeout_s: float
-    target_latency_s: float
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_s: Duration
+    target_latency_s: Duration
+    priority: Number = 0
+    max_attempts: Count = 1
     home_regions: tuple[RegionId, ...] = ()
 
 
@@ -107,18 +119,18 @@
 
     service: ServiceId
     health_path: str
-    max_connections: int
-    cold_requests_per_s: float
+    max_connections: Count
+    cold_requests_per_s: Rate
 
 
 @dataclass(frozen=True, slots=True)
 class ClientLimits:
     """Limits on what a client may send and how long it may take."""
 
-    header_bytes: int = 16384
-    body_bytes: int = 67108864
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
+    header_bytes: Count = 16384
+    body_bytes: Count = 67108864
+    header_timeout_s: Duration = 3.0
+    idle_timeout_s: Duration = 15.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +155,7 @@
     """
 
     instance: InstanceId
-    born_ms: int = 0
+    born_ms: UnixMs = 0
 
     def is_same_as(self, other: 'BackendRun') -> bool:
         """Return whether both are the same run, as far as is known."""
@@ -176,7 +188,7 @@
     """
 
     run: BackendRun
-    at_ms: int
+    at_ms: UnixMs
     suspects: tuple[Fingerprint, ...]
     answered: tuple[Fingerprint, ...] = ()
 
@@ -192,7 +204,7 @@
     """
 
     fingerprint: Fingerprint
-    at_ms: int
+    at_ms: UnixMs
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,17 +234,17 @@
 
     node: NodeId
     incarnation: Incarnation
-    started_ms: int
-    serial: int
+    started_ms: UnixMs
+    serial: Count
     host: str
-    port: int
+    port: Port
     zone: AvailabilityZoneId
     region: RegionId
     service: ServiceId
     instance: InstanceId
     phase: BackendPhase
     leaving: bool = False
-    born_ms: int = 0
+    born_ms: UnixMs = 0
     departed: bool = False
     crashes: tuple[CrashRecord, ...] = ()
     clearances: tuple[Clearance, ...] = ()
@@ -287,17 +299,17 @@
         if some of these have to wait.
     """
 
-    running: int = 0
-    waiting: int = 0
-    limit: int = 0
-    slowdown: float = 1.0
-    service_s: float = 0
-    error_share: float = 0
-    memory_s: float = 0
-    pause_s: float = 0
-    calm_slowdown: float = 1.0
-    rate_limit: float | None = None
-    rate_credit: float = 0
+    running: Count = 0
+    waiting: Count = 0
+    limit: Count = 0
+    slowdown: Ratio = 1.0
+    service_s: Duration = 0
+    error_share: Share = 0
+    memory_s: Duration = 0
+    pause_s: Duration = 0
+    calm_slowdown: Ratio = 1.0
+    rate_limit: Rate | None = None
+    rate_credit: Credit = 0
 
 
 class Refusal(Enum):
--- a/packages/forwarding/bilberryrail/forwarding/run_statements.py
+++ b/packages/forwarding/bilberryrail/forwarding/run_statements.py
@@ -5,6 +5,7 @@
 from typing import Any, Final
 
 from bilberryrail.core.ids import Seconds
+from bilberryrail.forwarding.bounds import Rate
 from bilberryrail.forwarding.load_report import Notice
 from bilberryrail.forwarding.records import BackendRun, InstanceId
 from bilberryrail.forwarding.stated_rate import StatedRate
@@ -27,7 +28,7 @@
     """
 
     run: BackendRun
-    rate_limit: float = math.inf
+    rate_limit: Rate = math.inf
     has_departed: bool = False
 
 
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -8,6 +8,7 @@
 from bilberryrail.core.ids import AttemptId, NodeId, Seconds
 from bilberryrail.forwarding.admission import Admission
 from bilberryrail.forwarding.backend import Backend
+from bilberryrail.forwarding.bounds import MAX_DURATION_S
 from bilberryrail.forwarding.coalescing_timer import CoalescingTimer
 from bilberryrail.forwarding.crash_ledger import CrashLedger
 from bilberryrail.forwarding.load_report import Notice, NoticeSource
@@ -199,7 +200,10 @@
             work.origin.attempt,
             answer,
             self.load(),
-            self.backend.service_time.usual_s(work.message.route),
+            min(
+                self.backend.service_time.usual_s(work.message.route),
+                MAX_DURATION_S,
+            ),
         )
         self.port.reply(work.origin.node, reply)
         self.process_queue()
@@ -383,7 +387,7 @@
         reply = Refused(
             work.origin.attempt,
             reason,
-            retry_after_s,
+            min(max(0, retry_after_s), MAX_DURATION_S),
             self.load(),
         )
         self.port.reply(work.origin.node, reply)
