Ignore announcements that cannot be those of a node

Anybody may write to the topic of the announcements.

Announcements from the store and from links pass the same check before they are merged, and are logged as bad_announcement.

The fixture peer() has real addresses now, since names are rejected. Evidence: the new tests of membership, presence, crash_ledger and control; the checks did not exist before.

--- a/packages/forwarding/bilberryrail/forwarding/crash_ledger.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_ledger.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
+from bilberryrail.forwarding.bounds import MAX_CLOCK_LEAD_MS
 from bilberryrail.forwarding.records import (
     Clearance,
     CrashRecord,
@@ -64,15 +65,16 @@
     ) -> bool:
         """Add what a node has observed; return whether anything was new."""
         oldest_ms = self._oldest_ms()
+        latest_ms = self.wall_ms() + MAX_CLOCK_LEAD_MS
         new_crashes = {
             one: None
             for one in crashes
-            if one not in self.crashes and one.at_ms > oldest_ms
+            if one not in self.crashes and oldest_ms < one.at_ms <= latest_ms
         }
         new_clearances = {
             one.fingerprint: one.at_ms
             for one in clearances
-            if one.at_ms > max(oldest_ms, self._cleared_ms(one.fingerprint))
+            if self._is_recent(one, oldest_ms, latest_ms)
         }
         if not new_crashes and not new_clearances:
             return False
@@ -122,6 +124,12 @@
         suspected = self._suspected.get(fingerprint, ())
         return max((one.at_ms for one in suspected), default=_NEVER_MS)
 
+    def _is_recent(
+        self, clearance: Clearance, oldest_ms: float, latest_ms: float
+    ) -> bool:
+        known_ms = self._cleared_ms(clearance.fingerprint)
+        return max(oldest_ms, known_ms) < clearance.at_ms <= latest_ms
+
     def _oldest_ms(self) -> float:
         return self.wall_ms() - self.settings.memory_s * _MS_PER_S
 
--- a/packages/forwarding/bilberryrail/forwarding/crash_ledger_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_ledger_test.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from bilberryrail.forwarding.bounds import MAX_CLOCK_LEAD_MS
 from bilberryrail.forwarding.crash_ledger import CrashLedger
 from bilberryrail.forwarding.records import (
     BackendRun,
@@ -140,3 +141,11 @@
             )
         )
         assert bench.ledger.is_quarantined(BYSTANDER) == (number == 6)
+
+
+def test_crash_in_the_future_is_ignored(bench):
+    # Guards against a request that is quarantined, or cleared, for ever.
+    later_ms = START_MS + MAX_CLOCK_LEAD_MS + 1
+    crash = CrashRecord(BackendRun(InstanceId('i1')), later_ms, (CULPRIT,))
+    assert not bench.ledger.merge([crash], [Clearance(CULPRIT, later_ms)])
+    assert not bench.ledger.crash_count(CULPRIT)
--- a/packages/forwarding/bilberryrail/forwarding/fixtures_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/fixtures_test.py
@@ -1,5 +1,8 @@
 """Builders of records for tests of this and other packages."""
 
+from ipaddress import IPv4Address
+from zlib import crc32
+
 from bilberryrail.core.ids import (
     AttemptId,
     AvailabilityZoneId,
@@ -23,6 +26,10 @@
 )
 from bilberryrail.forwarding.settings import ForwardingSettings
 
+#: Addresses of the nodes: 10.0.0.0/8.
+_NETWORK = IPv4Address('10.0.0.0')
+_ADDRESSES = 2**24
+
 BOARD = ServiceId('board')
 
 SETTINGS = ForwardingSettings(
@@ -39,6 +46,11 @@
 )
 
 
+def address_of(node: str) -> str:
+    """Return an address of its own for each node."""
+    return str(IPv4Address(_NETWORK + crc32(node.encode()) % _ADDRESSES))
+
+
 def peer(
     node: str,
     *,
@@ -56,7 +68,7 @@
         incarnation=Incarnation(started_ms),
         started_ms=started_ms,
         serial=serial,
-        host=host or f'host-{node}',
+        host=host or address_of(node),
         port=7000,
         zone=AvailabilityZoneId(zone),
         region=RegionId(region),
--- a/packages/forwarding/bilberryrail/forwarding/membership.py
+++ b/packages/forwarding/bilberryrail/forwarding/membership.py
@@ -1,9 +1,11 @@
 """Nodes that this node knows of."""
 
 from collections.abc import Iterable
+from ipaddress import AddressValueError, IPv4Address
 from typing import Final
 
 from bilberryrail.core.ids import NodeId
+from bilberryrail.forwarding.bounds import MAX_CLOCK_LEAD_MS
 from bilberryrail.forwarding.records import Peer
 
 _MS_PER_S: Final = 1000
@@ -12,6 +14,9 @@
 #: distinguishes, so that a later start always outweighs them.
 _MAX_CHANGES: Final = 1000
 
+#: Number of characters of an invalid host that are shown.
+_MAX_SHOWN: Final = 40
+
 
 class Membership:
     """The newest announcement of each node.
@@ -77,7 +82,9 @@
             self.forgotten[node] = known
 
     def _is_newer(self, peer: Peer) -> bool:
-        if peer.node == self.own.node:
+        own = self.own
+        is_own_address = (peer.host, peer.port) == (own.host, own.port)
+        if peer.node == own.node or is_own_address:
             return False
         known = self.peers.get(peer.node) or self.forgotten.get(peer.node)
         if known is not None and not peer.is_newer_than(known):
@@ -95,3 +102,25 @@
             if (other.host, other.port) == (peer.host, peer.port)
             and other.node != peer.node
         ]
+
+
+def find_fault(peer: Peer, now_ms: int) -> str | None:
+    """Return why an announcement cannot be used; None if it can.
+
+    Anybody may write to the topic of the announcements, so one may be readable
+    and still not be of a node.
+
+    Parameters
+    ----------
+    now_ms
+        Unix time, in milliseconds.
+    """
+    if not peer.node:
+        return 'it names no node'
+    if peer.started_ms > now_ms + MAX_CLOCK_LEAD_MS:
+        return f'it starts in the future, at {peer.started_ms} ms'
+    try:
+        IPv4Address(peer.host)
+    except AddressValueError:
+        return f'its host is no IPv4 address: {peer.host[:_MAX_SHOWN]!r}'
+    return None
--- a/packages/forwarding/bilberryrail/forwarding/membership_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/membership_test.py
@@ -1,7 +1,12 @@
 """Tests of which announcement of a node is kept."""
 
+import pytest
+
+from bilberryrail.forwarding.bounds import MAX_CLOCK_LEAD_MS
 from bilberryrail.forwarding.fixtures_test import peer
-from bilberryrail.forwarding.membership import Membership
+from bilberryrail.forwarding.membership import Membership, find_fault
+
+NOW_MS = 1_800_000_000_000
 
 
 def names(membership):
@@ -53,3 +58,32 @@
     assert not names(membership)
     membership.merge([peer('n2', started_ms=3000)])
     assert names(membership) == ['n2']
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        peer(''),
+        peer('n2', host='example'),
+        peer('n2', host='10.0.0.300'),
+        peer('n2', host='::1'),
+        peer('n2', started_ms=NOW_MS + MAX_CLOCK_LEAD_MS + 1),
+    ],
+)
+def test_announcement_of_no_node_has_a_fault(odd):
+    # Guards against links to hosts that do not exist, and against a record
+    # that stays the newest one of a node for ever.
+    assert find_fault(odd, NOW_MS)
+
+
+def test_announcement_of_a_node_has_no_fault():
+    # Guards against nodes that are ignored because their clock is a bit ahead.
+    assert find_fault(peer('n2', started_ms=NOW_MS + 60_000), NOW_MS) is None
+
+
+def test_announcement_at_this_nodes_address_is_ignored():
+    # Guards against a record by which a node forgets itself.
+    membership = Membership(peer('n1', host='10.1.0.1'))
+    odd = peer('n2', host='10.1.0.1', started_ms=9000)
+    assert not membership.merge([odd])
+    assert membership.all() == [membership.own]
--- a/packages/gateway/bilberryrail/gateway/control.py
+++ b/packages/gateway/bilberryrail/gateway/control.py
@@ -7,12 +7,14 @@
 
 from bilberryrail.core.ids import Seconds
 from bilberryrail.forwarding.backend import Backend
+from bilberryrail.forwarding.bounds import MAX_CLOCK_LEAD_MS
 from bilberryrail.forwarding.load_report import Heartbeat
 from bilberryrail.forwarding.operators import OperatorState
 from bilberryrail.forwarding.records import HttpAnswer, HttpRequest
 from bilberryrail.gateway.dialect import Departure, Dialect
 from bilberryrail.gateway.event_log import EventLog
 from bilberryrail.gateway.http_server import Respond
+from bilberryrail.gateway.presence import wall_ms
 from bilberryrail.gateway.settings import GatewaySettings
 
 #: Longest wait for the store before a departure is acknowledged, in seconds.
@@ -123,8 +125,11 @@
         """Return whether a heartbeat is of this node's backend server.
 
         It has to come from the configured address, and its service has to be
-        in the configuration if there is one.
+        in the configuration if there is one. One that states a start in the
+        future would make all later ones look old.
         """
+        if heartbeat.born_ms > wall_ms() + MAX_CLOCK_LEAD_MS:
+            return False
         if heartbeat.address != self.owner.settings.backend:
             return False
         config = self.owner.operators.config
--- a/packages/gateway/bilberryrail/gateway/control_test.py
+++ b/packages/gateway/bilberryrail/gateway/control_test.py
@@ -8,6 +8,7 @@
 
 from bilberryrail.core.ids import ServiceId
 from bilberryrail.forwarding.backend import Backend
+from bilberryrail.forwarding.bounds import MAX_CLOCK_LEAD_MS
 from bilberryrail.forwarding.fixtures_test import BOARD, RULES, SETTINGS
 from bilberryrail.forwarding.load_report import Heartbeat
 from bilberryrail.forwarding.operators import ConfigRecord, OperatorState
@@ -25,6 +26,7 @@
 )
 from bilberryrail.gateway.dialect import Departure
 from bilberryrail.gateway.http_server_test import ignore
+from bilberryrail.gateway.presence import wall_ms
 
 ADDRESS = '10.0.0.1:80'
 REQUEST = HttpRequest(b'PUT', b'/i1', (), b'')
@@ -163,3 +165,11 @@
     question = HttpRequest(b'GET', target, (), b'')
     ReadyService(owner).serve(question, '', answers.append)
     assert [int(answer.status) for answer in answers] == [status]
+
+
+def test_heartbeat_of_a_run_that_starts_in_the_future_is_rejected(owner):
+    # Guards against an odd heartbeat that makes all later ones look old.
+    later_ms = wall_ms() + 2 * MAX_CLOCK_LEAD_MS
+    assert owner.announce(heartbeat(born_ms=later_ms)) == [400]
+    assert owner.announce(heartbeat()) == [200]
+    assert owner.backend.instance == 'i1'
--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -17,7 +17,7 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.ingress import Ingress
-from bilberryrail.forwarding.membership import Membership
+from bilberryrail.forwarding.membership import Membership, find_fault
 from bilberryrail.forwarding.records import (
     BackendPhase,
     Clearance,
@@ -186,7 +186,11 @@
                 self.links.send_if_open(node, message)
 
     def merge_announcements(self, peers: list[Peer]) -> list[Peer]:
-        """Merge announcements of nodes; return those that changed something."""
+        """Merge announcements of nodes; return those that changed something.
+
+        Announcements that cannot be used are skipped.
+        """
+        peers = [peer for peer in peers if self._is_usable(peer)]
         changed = self.membership.merge(peers)
         for announced in changed:
             self.candidates.runs.announced(announced)
@@ -228,6 +232,12 @@
             if not self.links.is_up(node):
                 self.candidates.avoid(node, now)
 
+    def _is_usable(self, peer: Peer) -> bool:
+        fault = find_fault(peer, wall_ms())
+        if fault is not None:
+            self.log('bad_announcement', key=peer.node, reason=fault)
+        return fault is None
+
     def _announce(self, announced: Peer) -> None:
         self.membership.announce(announced)
         self._publish(messages.Announce(self.membership.own))
--- a/packages/gateway/bilberryrail/gateway/presence_test.py
+++ b/packages/gateway/bilberryrail/gateway/presence_test.py
@@ -9,6 +9,7 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.backend_test import heartbeat
+from bilberryrail.forwarding.bounds import MAX_CLOCK_LEAD_MS
 from bilberryrail.forwarding.crash_ledger import CrashLedger
 from bilberryrail.forwarding.fixtures_test import SETTINGS, peer
 from bilberryrail.forwarding.ingress import Ingress
@@ -216,3 +217,16 @@
     told = set(bench.links.sent[before:])
     assert len(told) == others
     assert len(told | bench.links.persistent) == near + far
+
+
+def test_odd_announcement_is_skipped_and_the_others_are_used(bench):
+    # Guards against one odd entry among the announcements: a link to a host that
+    # does not exist, or this node's own start moved into the future.
+    odd = [
+        peer('n2', host='nowhere'),
+        peer('n1', started_ms=wall_ms() + 2 * MAX_CLOCK_LEAD_MS),
+    ]
+    started_ms = bench.membership.own.started_ms
+    changed = bench.presence.merge_announcements([*odd, peer('n3')])
+    assert [one.node for one in changed] == ['n3']
+    assert bench.membership.own.started_ms == started_ms
