Reject heads that consist of the heads of two answers

Cause: a faulty server breaks off in the head of an earlier answer on a kept connection and then writes its present answer. If it breaks off in a reason phrase or the value of a header, the parser reads one head. That has the refusal of the first and the id of the second answer, and the dialect looked for the refusal first.

The reader rejects a status line within a reason phrase or a header, which every such head has, since an answer begins with one. The request then counts as possibly run: it is not sent again unless it is idempotent, and the connection is closed.

--- a/packages/gateway/bilberryrail/gateway/answer_reader.py
+++ b/packages/gateway/bilberryrail/gateway/answer_reader.py
@@ -1,5 +1,6 @@
 """Parses answers from a connection on which requests were sent."""
 
+import re
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
@@ -12,6 +13,10 @@
 
 _LENGTH: Final = b'content-length'
 
+#: Status line within a reason phrase or a header. A faulty server may break off
+#: in the head of an earlier answer and write its present answer behind that.
+_STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d \d{3}')
+
 _LENGTHS: Final = frozenset((_LENGTH, b'transfer-encoding'))
 
 
@@ -80,6 +85,7 @@
         self.complete: list[RawAnswer] = []
         self.current: RawAnswer | None = None
         self.has_started = False
+        self.reason = b''
 
     @property
     def buffered_bytes(self) -> int:
@@ -110,11 +116,17 @@
     def on_message_begin(self) -> None:
         """Start an answer."""
         self.framing.message_started()
+        self.reason = b''
         self.current = RawAnswer()
 
+    def on_status(self, part: bytes) -> None:
+        """Collect a part of the reason phrase."""
+        self.reason += part
+
     def on_header(self, name: bytes, text: bytes) -> None:
         """Store a header; trailers are dropped."""
         self.framing.header_read()
+        _check_not_merged(text)
         if self.current is not None and not self.current.has_head:
             self.current.headers.append((name, text))
 
@@ -123,6 +135,7 @@
         current = self.current
         if current is None:
             return
+        _check_not_merged(self.reason)
         current.status = self.parser.get_status_code()
         current.has_head = True
         current.has_length = any(
@@ -158,3 +171,9 @@
         if self.current is not None:
             self.complete.append(self.current)
             self.current = None
+
+
+def _check_not_merged(text: bytes) -> None:
+    """Raise ``FramingError`` if a text holds the begin of another answer."""
+    if _STATUS_LINE.search(text):
+        raise FramingError('a head holds the status line of another answer')
--- a/packages/gateway/bilberryrail/gateway/backend_pool.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool.py
@@ -173,7 +173,11 @@
             head = self.pool.read_head(work, raw)
             if head.verdict is not Verdict.FOREIGN:
                 is_last = raw is complete[-1]
-                self._release(raw, is_reusable=is_last and head.is_identified)
+                is_clear = head.verdict is not Verdict.CONTRADICTORY
+                self._release(
+                    raw,
+                    is_reusable=is_last and is_clear and head.is_identified,
+                )
                 self.pool.report_answer(work, raw, head)
                 return
         self.pool.log('foreign_answer', count=len(complete))
@@ -320,7 +324,7 @@
                 self.target.not_run(work, Refusal.OTHER_INSTANCE)
             case Verdict.UNSEALED:
                 self.target.failed(work, Failure.UNSEALED)
-            case Verdict.FOREIGN:
+            case Verdict.FOREIGN | Verdict.CONTRADICTORY:
                 self.target.failed(work, Failure.MALFORMED)
 
     def failed(self, work: Work, reason: Failure) -> None:
--- a/packages/gateway/bilberryrail/gateway/dialect.py
+++ b/packages/gateway/bilberryrail/gateway/dialect.py
@@ -63,6 +63,9 @@
     UNSEALED = 'unsealed'
     #: An answer that belongs to another request.
     FOREIGN = 'foreign'
+    #: A head that states what excludes each other, or states it twice. It may
+    #: consist of the heads of two answers.
+    CONTRADICTORY = 'contradictory'
 
 
 @dataclass(frozen=True, slots=True)
