Answer 502 for a failure whose status promises not run

Cause: a backend server that fails after the run may answer with any status. One without Bilberryrail-Not-Executed was passed on as it was, also 408, 421, 429 and 503.

The ingress replaces such an answer by its own 502, which promises nothing; it has no seal, since the status is another one. An idempotent request is sent to another target first, as after other failures; this is new for 408 and 429.

--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -57,6 +57,16 @@
 #: faster.
 _MAX_LATE_REFUSALS: Final = 3
 
+#: Statuses that promise the client that its request has not run and never will.
+_PROMISE_NOT_RUN: Final = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
+
 #: Refusals that show a lack of capacity.
 _OVERLOADED: Final = frozenset((Refusal.BUSY, Refusal.SLOW, Refusal.LATE))
 
@@ -205,18 +215,19 @@
             exchange.route.route, reply.usual_s
         )
         exchange.reached.add(node)
-        status = reply.answer.status
+        answer = _without_promise(reply.answer)
+        status = answer.status
         if status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self.quarantine.answered(exchange.fingerprint)
         is_error = status >= HTTPStatus.INTERNAL_SERVER_ERROR
         if is_error and exchange.route.idempotent:
-            exchange.last_answer = reply.answer
+            exchange.last_answer = answer
             if exchange.attempts:
                 return
             if self._withdraw_retry(exchange):
                 self._send_to_best(exchange, is_retry=True)
                 return
-        self._respond(exchange, reply.answer, node)
+        self._respond(exchange, answer, node)
 
     def failed(self, node: NodeId, reply: Failed) -> None:
         """Retry an idempotent request; otherwise report an unknown outcome."""
@@ -473,6 +484,17 @@
     )
 
 
+def _without_promise(answer: HttpAnswer) -> HttpAnswer:
+    """Replace an answer whose status says that the request has not run.
+
+    A backend server that has not run a request refuses it; any other answer may
+    come after the run, whatever its status is.
+    """
+    if answer.status in _PROMISE_NOT_RUN:
+        return HttpAnswer(HTTPStatus.BAD_GATEWAY, is_own=True)
+    return answer
+
+
 def _exclude(exchange: Exchange, node: NodeId, reason: Refusal) -> None:
     """Exclude a target for a request, unless the request may wait there."""
     if reason is Refusal.LATE:
--- a/packages/forwarding/bilberryrail/forwarding/ingress_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress_test.py
@@ -372,6 +372,22 @@
     assert not bench.answers
 
 
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_failure_of_a_backend_server_promises_nothing(
+    bench, status, idempotent
+):
+    # Guards against a client that is told "not run" although its request has
+    # run: the server failed afterwards, with a status that means this (REFUSED,
+    # review/2).
+    bench.arrive(idempotent=idempotent)
+    node, attempt = bench.last()
+    failure = HttpAnswer(status, ((b'Retry-After', b'1'),), b'busy')
+    bench.ingress.answered(node, Answered(attempt, failure, LOAD))
+    assert bench.statuses() == [HTTPStatus.BAD_GATEWAY]
+    assert bench.answers[-1].is_own
+
+
 def test_client_is_told_how_long_a_request_is_quarantined(bench):
     # Guards against a client that returns at once, because this node does not
     # know the crashes that the target knows.
