Release the memory of answers and requests without the collector

Cause: a reader and its parser refer to each other, so a rejected answer stayed in memory until the garbage collector ran, which counts objects and not bytes. The same held for each complete answer, for answers of the store and of health checks, and for requests: the function that abandons one refers to it, and it refers to the function's place.

AnswerReader.close ends the cycle once its answer was used or rejected; a slot drops its function with the answer, and a lost connection its parser.

--- a/packages/gateway/bilberryrail/gateway/answer_reader.py
+++ b/packages/gateway/bilberryrail/gateway/answer_reader.py
@@ -105,6 +105,17 @@
         ) as error:
             raise AnswerError(f'{type(error).__name__}: {error}') from error
 
+    def close(self) -> None:
+        """Release the memory of all answers; no more bytes may be fed.
+
+        The parser and this reader refer to each other. Without this, their
+        answers would stay in memory until the garbage collector runs, which
+        counts objects and not bytes.
+        """
+        self.parser = None
+        self.current = None
+        self.complete = []
+
     def connection_ended(self) -> RawAnswer | None:
         """Return the answer completed by the end of the connection, if any."""
         current = self.current
--- a/packages/gateway/bilberryrail/gateway/backend_pool.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool.py
@@ -138,10 +138,12 @@
         self.pool.forget(self)
         work = self.work
         if work is None:
+            self._close_reader()
             return
         raw = self.reader.connection_ended() if self.reader else None
         if raw is not None and reason.check(ConnectionDone):
             self.work = None
+            self._close_reader()
             self.pool.report_answer(work, raw)
             return
         started = self.reader is not None and self.reader.has_started
@@ -160,6 +162,7 @@
     def abort(self) -> None:
         """Abort the request and the connection without reporting an outcome."""
         self.work = None
+        self._close_reader()
         if self.transport is not None:
             self.transport.abortConnection()
 
@@ -191,16 +194,23 @@
         """
         has_rest = self.reader.current is not None
         self.work = None
-        self.reader = None
+        self._close_reader()
         if has_rest or not is_reusable or not raw.keeps_alive:
             self.transport.loseConnection()
             return
         self.idle_timeout_s = _stated_idle_s(raw)
         self.pool.put_back(self)
 
+    def _close_reader(self) -> None:
+        """Release the memory of the answer, also of one that was rejected."""
+        if self.reader is not None:
+            self.reader.close()
+            self.reader = None
+
     def _fail(self, reason: Failure) -> None:
         work = self.work
         self.work = None
+        self._close_reader()
         self.transport.abortConnection()
         if work is not None:
             self.pool.failed(work, reason)
--- a/packages/gateway/bilberryrail/gateway/backend_pool_test.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool_test.py
@@ -1,5 +1,7 @@
 """Tests of connections to the backend server, without sockets."""
 
+import weakref
+
 import pytest
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.task import Clock
@@ -295,3 +297,24 @@
     bench.open().dataReceived(answer())
     run = BackendRun(INSTANCE, born_ms=100)
     assert bench.target.notices == [(Notice(7.5), run, NoticeSource.ANSWER)]
+
+
+@pytest.mark.usefixtures('no_collector')
+@pytest.mark.parametrize(
+    'received',
+    [
+        b'HTTP/1.1 200 OK\r\n\r\n%b' % bytes(100001),
+        b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody',
+        b'no answer',
+    ],
+)
+def test_memory_of_an_answer_is_released_without_the_collector(bench, received):
+    # Guards against a node that exceeds its memory: rejected answers without end
+    # waited for the garbage collector, which counts objects and not bytes (LOST,
+    # review/3).
+    bench.dispatch(1)
+    connection = bench.open()
+    reader = weakref.ref(connection.reader)
+    connection.dataReceived(received)
+    assert bench.target.outcomes
+    assert reader() is None
--- a/packages/gateway/bilberryrail/gateway/http_channel.py
+++ b/packages/gateway/bilberryrail/gateway/http_channel.py
@@ -80,6 +80,7 @@
         """
         self.channel.lost(self)
         raw = self.reader.connection_ended()
+        self.reader.close()
         if raw is not None and reason.check(ConnectionDone):
             self._finish(raw)
         else:
@@ -90,6 +91,7 @@
         waiting = self.waiting
         self.waiting = None
         self.channel.lost(self)
+        self.reader.close()
         if self.transport is not None:
             self.transport.abortConnection()
         if waiting is not None:
@@ -98,6 +100,7 @@
     def _finish(self, raw: RawAnswer) -> None:
         waiting = self.waiting
         self.waiting = None
+        self.reader.close()
         if waiting is not None:
             waiting.callback(raw)
 
--- a/packages/gateway/bilberryrail/gateway/http_server.py
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -57,7 +57,15 @@
 
 
 class Slot:
-    """Place of one answer in the order of the requests of a connection."""
+    """Place of one answer in the order of the requests of a connection.
+
+    Attributes
+    ----------
+    abandon
+        Abandons the request; None once it is answered. It refers to the
+        request, which refers to this slot, so that the body would otherwise
+        stay in memory until the garbage collector runs.
+    """
 
     def __init__(self, *, is_head: bool, closes: bool) -> None:
         self.is_head = is_head
@@ -128,11 +136,14 @@
         self.server.connections.discard(self)
         if self.linger is not None and self.linger.active():
             self.linger.cancel()
+        self.parser = None
+        self.chunks = []
         slots = tuple(self.slots)
         self.slots.clear()
         for slot in slots:
             if slot.answer is None and slot.abandon is not None:
                 slot.abandon()
+            slot.abandon = None
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -228,6 +239,7 @@
         """Write the answers that are next in the order of the requests."""
         while self.slots and self.slots[0].answer is not None:
             slot = self.slots.popleft()
+            slot.abandon = None
             if self.is_lost:
                 continue
             is_last = not self.slots and not self.is_reading
--- a/packages/gateway/bilberryrail/gateway/http_server_test.py
+++ b/packages/gateway/bilberryrail/gateway/http_server_test.py
@@ -1,5 +1,7 @@
 """Tests of the HTTP server: order of answers, limits and closing."""
 
+import weakref
+from functools import partial
 from itertools import repeat
 
 import pytest
@@ -66,6 +68,13 @@
         for part in parts:
             self.connection.dataReceived(part)
 
+    def hold_body(self):
+        """Let the pending request hold a body; return a weak reference."""
+        body = Body()
+        slot = self.connection.slots[0]
+        slot.abandon = partial(self.service.gone.append, body)
+        return weakref.ref(body)
+
     def written(self):
         return self.transport.value()
 
@@ -250,3 +259,18 @@
     bench.send(get(b'/2'))
     bench.service.responds[0](HttpAnswer(200))
     assert bench.written().count(b'HTTP/1.1 200 ') == 1
+
+
+class Body:
+    """Stands for the body of a request."""
+
+
+@pytest.mark.usefixtures('no_collector')
+def test_memory_of_a_request_is_released_without_the_collector(bench):
+    # Guards against bodies of answered requests that stay in memory until the
+    # garbage collector runs.
+    bench.send(get(b'/1'))
+    found = bench.hold_body()
+    respond = bench.service.responds[0]
+    respond(HttpAnswer(200))
+    assert found() is None
