Wait until answers are sent before connections and the process end

Cause: the second after which a closing connection is aborted ran from the time at which the answer was handed to the transport. An abort discards what has not been sent, also by the system. The shutdown counted a process as idle at that time too, and ended it 0.1 s after the links were closed, so answers to other nodes on slow links were cut alike. An idle connection was found by the time of the last write.

The time now runs from when the transport has handed everything to the system, and the connection is closed instead of aborted, so that the system sends the rest. A client that takes no byte for the idle timeout is given up. The shutdown waits for unsent answers to clients and to other nodes, until 0.1 s before the end of the grace period.

--- a/packages/gateway/bilberryrail/gateway/http_server.py
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -25,9 +25,9 @@
 #: number the connection is not read.
 MAX_PIPELINED: Final = 64
 
-#: Time that a closing connection waits for the client to close it too, in
-#: seconds. Closing with unread bytes would reset the connection, possibly
-#: before the client has read the last answer.
+#: Time that a closing connection waits for the client to close it too after the
+#: last answer was sent, in seconds. Closing with unread bytes would reset the
+#: connection, possibly before the client has read the answer.
 LINGER_S: Final = 1.0
 
 #: Interval at which connections are checked for idleness, in seconds.
@@ -83,6 +83,10 @@
         Requests whose answers are not written yet, in order.
     is_ending
         Whether no further requests are read.
+    active_at
+        Time of the last sign that the client uses the connection.
+    unsent
+        Number of bytes of answers that were not sent at the last check.
     """
 
     def __init__(self, server: 'HttpServer') -> None:
@@ -100,6 +104,7 @@
         self.is_lost = False
         self.is_paused = False
         self.active_at: float = 0
+        self.unsent = 0
         self.host = ''
         self.linger: Any = None
 
@@ -207,8 +212,16 @@
             self._end()
 
     def check_idle(self, now: float) -> None:
-        """Close the connection if it is idle or its headers are too slow."""
+        """Close the connection if it is idle or its headers are too slow.
+
+        A client that takes no bytes of its answer for as long is gone.
+        """
         limits = self.server.limits
+        self._check_sent(now)
+        if self.unsent:
+            if now - self.active_at > limits.idle_timeout_s:
+                self.transport.abortConnection()
+            return
         if self.slots or self.is_ending:
             return
         if self.is_reading and not self.has_head:
@@ -290,11 +303,28 @@
         self.is_ending = True
         if self.is_lost or self.linger is not None:
             return
+        self.active_at = self.server.reactor.seconds()
         self.transport.loseWriteConnection()
-        self.linger = self.server.reactor.callLater(
-            LINGER_S,
-            self.transport.abortConnection,
-        )
+        self._linger()
+
+    def _linger(self) -> None:
+        """Close the connection some time after its last answer was sent.
+
+        What the system has taken by then is still sent.
+        """
+        now = self.server.reactor.seconds()
+        self._check_sent(now)
+        if self.unsent or now - self.active_at < LINGER_S:
+            self.linger = self.server.reactor.callLater(LINGER_S, self._linger)
+        else:
+            self.transport.loseConnection()
+
+    def _check_sent(self, now: float) -> None:
+        """Count sent bytes as activity."""
+        unsent = sockets.unsent_bytes(self.transport)
+        if unsent != self.unsent:
+            self.unsent = unsent
+            self.active_at = now
 
 
 class HttpServer(Factory):
@@ -329,6 +359,14 @@
         """Create the protocol of an accepted connection."""
         return ServerConnection(self)
 
+    @property
+    def is_sending(self) -> bool:
+        """Whether parts of answers have not been sent yet."""
+        return any(
+            sockets.unsent_bytes(connection.transport)
+            for connection in self.connections
+        )
+
     def start_closing(self) -> None:
         """Close idle connections now, and the others after their answers."""
         self.is_closing = True
--- a/packages/gateway/bilberryrail/gateway/http_server_test.py
+++ b/packages/gateway/bilberryrail/gateway/http_server_test.py
@@ -9,7 +9,7 @@
 from twisted.internet.testing import StringTransport
 
 from bilberryrail.forwarding.records import ClientLimits, HttpAnswer
-from bilberryrail.gateway.http_server import HttpServer
+from bilberryrail.gateway.http_server import LINGER_S, HttpServer
 
 
 def ignore(*_, **fields):
@@ -274,3 +274,67 @@
     respond = bench.service.responds[0]
     respond(HttpAnswer(200))
     assert found() is None
+
+
+class SlowTransport(FakeTransport):
+    """A transport to a client that the test lets take bytes."""
+
+    def __init__(self):
+        super().__init__()
+        self.dataBuffer = b''
+        self.offset = 0
+
+    def write(self, written):
+        super().write(written)
+        self.dataBuffer += written
+
+    def take(self, size):
+        self.dataBuffer = self.dataBuffer[size:]
+
+
+@pytest.fixture
+def slow_bench():
+    found = Bench()
+    found.transport = SlowTransport()
+    found.connection.makeConnection(found.transport)
+    found.send(get(b'/1', b'Connection: close\r\n'))
+    found.service.responds[0](HttpAnswer(200, (), bytes(30000)))
+    return found
+
+
+def test_slow_client_gets_its_last_answer(slow_bench):
+    # Guards against a connection that is reset 1 s after its answer was handed
+    # to the transport, while a client on a slow link still receives it: it took
+    # 1.5 s for 30,000 bytes (LOST, review/4).
+    transport = slow_bench.transport
+    while transport.dataBuffer:
+        assert not transport.disconnecting
+        transport.take(2000)
+        slow_bench.clock.advance(0.1)
+    slow_bench.clock.advance(LINGER_S)
+    assert not transport.disconnecting
+    slow_bench.clock.advance(LINGER_S)
+    assert transport.disconnecting
+    assert not transport.disconnected
+
+
+def test_client_that_takes_no_bytes_is_given_up(slow_bench):
+    # Guards against connections that are kept for clients that are gone.
+    idle_s = ClientLimits().idle_timeout_s
+    slow_bench.clock.pump(repeat(1.0, int(idle_s)))
+    assert not slow_bench.transport.disconnected
+    slow_bench.clock.pump(repeat(1.0, 3))
+    assert slow_bench.transport.disconnected
+
+
+def test_connection_is_not_idle_while_an_answer_is_sent(bench):
+    # Guards against a connection that is closed as idle although its client is
+    # still receiving an answer.
+    bench.transport = SlowTransport()
+    bench.connection.makeConnection(bench.transport)
+    bench.send(get(b'/1'))
+    bench.service.responds[0](HttpAnswer(200, (), bytes(30000)))
+    for _ in range(20):
+        bench.transport.take(100)
+        bench.clock.advance(1.0)
+    assert not bench.transport.half_closed
--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -16,7 +16,10 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.records import Peer
 from bilberryrail.gateway.link import Link, LinkEvents
-from bilberryrail.gateway.sockets import SingleConnectionFactory
+from bilberryrail.gateway.sockets import (
+    SingleConnectionFactory,
+    unsent_bytes,
+)
 from bilberryrail.gateway.tasks import PeriodicTask
 from bilberryrail.gateway.traffic import Traffic
 
@@ -334,6 +337,15 @@
                 outgoing.link.check_silence(now)
 
 
+def is_sending(links: Links) -> bool:
+    """Return whether parts of messages have not been sent yet."""
+    dialled = (outgoing.link for outgoing in links.outgoing.values())
+    return any(
+        link is not None and unsent_bytes(link.transport)
+        for link in (*links.incoming.values(), *dialled)
+    )
+
+
 def choose_persistent(
     peers: Mapping[NodeId, Peer],
     region: RegionId,
--- a/packages/gateway/bilberryrail/gateway/shutdown.py
+++ b/packages/gateway/bilberryrail/gateway/shutdown.py
@@ -5,6 +5,7 @@
 
 from bilberryrail.core.ids import Seconds
 from bilberryrail.gateway.frontend import Closing
+from bilberryrail.gateway.links import is_sending
 
 #: Minimum time for which the process continues to serve clients, in seconds.
 #: The platform takes a node out after two readiness checks, one second apart.
@@ -23,9 +24,13 @@
 #: Time without requests after which the process ends, in seconds.
 QUIET_S: Final = 0.3
 
-#: Time for the last written bytes to be sent, in seconds.
+#: Time for the last written bytes to reach the network, in seconds.
 FLUSH_S: Final = 0.1
 
+#: Margin before the end of the grace period, in seconds, after which the process
+#: ends even if answers have not been sent.
+KILL_MARGIN_S: Final = 0.1
+
 _CHECK_S: Final = 0.05
 
 
@@ -75,11 +80,26 @@
         grace_s = self.process.settings.lifecycle.grace_s
         return self.started_at + grace_s - STOP_MARGIN_S
 
+    @property
+    def _is_busy(self) -> bool:
+        """Whether a request of a client or of another node is not over.
+
+        It is over when its answer has been sent.
+        """
+        process = self.process
+        has_requests = not (process.ingress.is_idle and process.target.is_idle)
+        return has_requests or self._is_sending
+
+    @property
+    def _is_sending(self) -> bool:
+        process = self.process
+        return process.client_server.is_sending or is_sending(process.links)
+
     def _check(self) -> None:
         process = self.process
         now = self.reactor.seconds()
         elapsed = now - self.started_at
-        if not (process.ingress.is_idle and process.target.is_idle):
+        if self._is_busy:
             self._busy_at = now
         if elapsed >= MIN_SERVING_S:
             process.client_server.start_closing()
@@ -102,4 +122,12 @@
         process.follower.stop()
         process.announcer.stop()
         process.links.close()
-        self.reactor.callLater(FLUSH_S, self.on_stopped)
+        self.reactor.callLater(FLUSH_S, self._stop_when_sent)
+
+    def _stop_when_sent(self) -> None:
+        grace_s = self.process.settings.lifecycle.grace_s
+        kill_at = self.started_at + grace_s - KILL_MARGIN_S
+        if self._is_sending and self.reactor.seconds() < kill_at:
+            self.reactor.callLater(_CHECK_S, self._stop_when_sent)
+        else:
+            self.on_stopped()
--- a/packages/gateway/bilberryrail/gateway/shutdown_test.py
+++ b/packages/gateway/bilberryrail/gateway/shutdown_test.py
@@ -8,7 +8,10 @@
 from bilberryrail.gateway.http_server_test import ignore
 from bilberryrail.gateway.shutdown import (
     ACCEPTING_S,
+    FLUSH_S,
+    KILL_MARGIN_S,
     MIN_SERVING_S,
+    QUIET_S,
     STOP_MARGIN_S,
     Shutdown,
 )
@@ -24,6 +27,7 @@
         self.closed = []
         self.stopped = []
         self.changes = 0
+        self.transport = SimpleNamespace(dataBuffer=b'')
         capacity = SimpleNamespace(leaving=False)
         self.process = SimpleNamespace(
             reactor=self.clock,
@@ -46,9 +50,14 @@
             client_server=SimpleNamespace(
                 is_closing=False,
                 start_closing=lambda: self.closed.append(self.now()),
+                is_sending=False,
             ),
             frontend=SimpleNamespace(closing=None),
-            links=SimpleNamespace(close=ignore),
+            links=SimpleNamespace(
+                close=ignore,
+                incoming={'n2': SimpleNamespace(transport=self.transport)},
+                outgoing={},
+            ),
         )
         self.shutdown = Shutdown(
             self.process,
@@ -115,3 +124,37 @@
     bench.wait(2)
     bench.shutdown.begin()
     assert bench.changes == 1
+
+
+def test_process_waits_for_the_work_of_other_nodes(bench):
+    # Guards against cutting requests that other nodes have sent to the backend
+    # server before the shutdown.
+    bench.process.target.is_idle = False
+    bench.wait(GRACE_S - STOP_MARGIN_S - 0.1)
+    assert not bench.stopped
+    bench.process.target.is_idle = True
+    bench.wait(QUIET_S + FLUSH_S + 0.2)
+    assert bench.stopped
+
+
+@pytest.mark.parametrize(
+    ('to_clients', 'to_nodes'), [(True, b''), (False, b'x')]
+)
+def test_process_waits_until_answers_are_sent(bench, to_clients, to_nodes):
+    # Guards against answers on slow links that are cut although their request
+    # has run: to a client (LOST, review/4), or to another node.
+    bench.process.client_server.is_sending = to_clients
+    bench.transport.dataBuffer = to_nodes
+    bench.wait(GRACE_S - KILL_MARGIN_S - 0.1)
+    assert not bench.stopped
+    bench.wait(KILL_MARGIN_S + 0.1)
+    assert bench.stopped
+
+
+def test_process_ends_once_its_last_answers_are_sent(bench):
+    # Guards against a process that runs on until the platform kills it.
+    bench.process.client_server.is_sending = True
+    bench.wait(GRACE_S - 2)
+    bench.process.client_server.is_sending = False
+    bench.wait(QUIET_S + FLUSH_S + 0.2)
+    assert bench.stopped
--- a/packages/gateway/bilberryrail/gateway/sockets.py
+++ b/packages/gateway/bilberryrail/gateway/sockets.py
@@ -31,6 +31,16 @@
         handle.setsockopt(socket.IPPROTO_TCP, option, limit)
 
 
+def unsent_bytes(transport: Any) -> int:
+    """Return the number of written bytes that the system has not taken yet.
+
+    Twisted has no public method for this; transports in memory have no buffer.
+    """
+    waiting = len(getattr(transport, 'dataBuffer', b''))
+    waiting -= getattr(transport, 'offset', 0)
+    return waiting + getattr(transport, '_tempDataLen', 0)
+
+
 class SingleConnectionFactory(ClientFactory):
     """Client factory for one connection, with a given protocol instance.
 
