Accept no request while the last answers are sent

What callers could see: a request that arrives within the last tenth of a second of a planned stop is passed on, and its connection ends without an answer (LOST).

Once a node has been quiet for 0.3 s it closes its links and ends 0.1 s later, but the front end still had the schedule of the whole grace period.

The schedule ends when the shutdown closes the links; a request that arrives later is refused at once.

--- a/packages/gateway/bilberryrail/gateway/shutdown.py
+++ b/packages/gateway/bilberryrail/gateway/shutdown.py
@@ -112,6 +112,9 @@
 
     def _finish(self) -> None:
         process = self.process
+        # Requests that arrive while the last answers are sent have no time left.
+        now = Seconds(self.reactor.seconds())
+        process.frontend.closing = Closing(accepts_until=now, ends_at=now)
         process.log.process(
             'stopped',
             unanswered=len(process.ingress.exchanges),
--- a/packages/gateway/bilberryrail/gateway/shutdown_test.py
+++ b/packages/gateway/bilberryrail/gateway/shutdown_test.py
@@ -25,6 +25,7 @@
     def __init__(self):
         self.clock = Clock()
         self.closed = []
+        self.links_closed = []
         self.stopped = []
         self.changes = 0
         self.transport = SimpleNamespace(dataBuffer=b'')
@@ -54,7 +55,7 @@
             ),
             frontend=SimpleNamespace(closing=None),
             links=SimpleNamespace(
-                close=ignore,
+                close=lambda: self.links_closed.append(self.now()),
                 incoming={'n2': SimpleNamespace(transport=self.transport)},
                 outgoing={},
             ),
@@ -158,3 +159,14 @@
     bench.process.client_server.is_sending = False
     bench.wait(QUIET_S + FLUSH_S + 0.2)
     assert bench.stopped
+
+
+def test_process_that_is_ending_accepts_no_request(bench):
+    # Guards against a request that arrives within the last tenth of a second: it
+    # was passed on to a backend server and its connection ended without an
+    # answer (LOST).
+    while not bench.links_closed:
+        bench.wait(0.05)
+    closing = bench.process.frontend.closing
+    assert max(closing.accepts_until, closing.ends_at) <= bench.now()
+    assert not bench.stopped
