End a node also if a step of its shutdown fails

An unexpected error in a check of the shutdown would have left the process running until the platform kills it, with all its connections. The checks are a periodic task now, and the schedule is set before other parts are told of the shutdown. The new test fails without the change: the process did not stop.

--- a/packages/gateway/bilberryrail/gateway/shutdown.py
+++ b/packages/gateway/bilberryrail/gateway/shutdown.py
@@ -6,6 +6,7 @@
 from bilberryrail.core.ids import Seconds
 from bilberryrail.gateway.frontend import Closing
 from bilberryrail.gateway.links import is_sending
+from bilberryrail.gateway.tasks import PeriodicTask
 
 #: Minimum time for which the process continues to serve clients, in seconds.
 #: The platform takes a node out after two readiness checks, one second apart.
@@ -54,6 +55,9 @@
         self.is_started = False
         self.started_at: float = 0
         self._busy_at: float = 0
+        self._checks = PeriodicTask(
+            self.reactor, _CHECK_S, self._check, process.log.process
+        )
 
     def begin(self) -> None:
         """Stop accepting work as a target; continue to serve clients."""
@@ -64,15 +68,15 @@
         self._busy_at = self.started_at
         process = self.process
         process.log.process('stop', running=len(process.target.in_flight))
-        process.target.capacity.leaving = True
-        process.presence.is_leaving = True
-        process.backend_changed()
         process.client_server.is_closing = True
         process.frontend.closing = Closing(
             accepts_until=Seconds(self.started_at + ACCEPTING_S),
             ends_at=Seconds(self._ends_at),
         )
-        self._check()
+        self._checks.start(0)
+        process.target.capacity.leaving = True
+        process.presence.is_leaving = True
+        process.backend_changed()
 
     @property
     def _ends_at(self) -> float:
@@ -107,8 +111,7 @@
         is_over = now >= self._ends_at
         if is_over or (is_quiet and elapsed >= MIN_SERVING_S + QUIET_S):
             self._finish()
-        else:
-            self.reactor.callLater(_CHECK_S, self._check)
+            self._checks.stop()
 
     def _finish(self) -> None:
         process = self.process
--- a/packages/gateway/bilberryrail/gateway/shutdown_test.py
+++ b/packages/gateway/bilberryrail/gateway/shutdown_test.py
@@ -170,3 +170,17 @@
     closing = bench.process.frontend.closing
     assert max(closing.accepts_until, closing.ends_at) <= bench.now()
     assert not bench.stopped
+
+
+def test_process_ends_although_a_step_of_its_shutdown_fails(bench):
+    # Guards against a process that runs until the platform kills it, because of
+    # an unexpected error in its shutdown.
+    close = bench.process.links.close
+
+    def fail():
+        bench.process.links.close = close
+        raise OverflowError
+
+    bench.process.links.close = fail
+    bench.wait(GRACE_S - 1)
+    assert bench.stopped
