Keep the link to a silent peer while a booking is in flight there

Cause: a link was closed after 1.5 s without a complete message, whatever was in flight there.

Bytes that arrive, or that leave the buffer, show that a link works. A link that is silent although requests are pending is closed only if all of them are idempotent.

New tests for the requests that leave, and for large messages in both directions, fail without the change.

--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -255,9 +255,17 @@
         else:
             self._give_up(exchange, reply.reason.value)
 
-    def link_lost(self, node: NodeId) -> None:
-        """Treat all requests at a node whose link is lost as failed."""
+    def link_lost(self, node: NodeId, *, may_recover: bool = False) -> None:
+        """Treat the requests at a node whose link is lost as failed.
+
+        If the link may recover, requests that must not be repeated wait for
+        their outcome, and the others are cancelled.
+        """
         for attempt in self.attempts.at(node):
+            if may_recover and not attempt.exchange.route.idempotent:
+                continue
+            if may_recover:
+                self.links.send(node, Cancel(attempt.attempt))
             failure = Failed(attempt.attempt, Failure.LINK_LOST, None)
             self.failed(node, failure)
 
--- a/packages/forwarding/bilberryrail/forwarding/ingress_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress_test.py
@@ -398,3 +398,19 @@
     answer = bench.answers[-1]
     assert answer.status == HTTPStatus.SERVICE_UNAVAILABLE
     assert float(answer.header(b'retry-after')) >= 600
+
+
+def test_idempotent_request_leaves_a_target_whose_link_may_recover(bench):
+    # Guards against lookups that wait for a paused node, and against a booking
+    # that is given up or sent again although the node may still run it.
+    bench.allow_retries()
+    bench.arrive()
+    node, attempt = bench.last()
+    bench.ingress.link_lost(node, may_recover=True)
+    assert bench.last()[0] != node
+    assert (node, Cancel(attempt)) in bench.links.sent
+    bench.arrive(idempotent=False)
+    booking = bench.last()
+    bench.ingress.link_lost(booking[0], may_recover=True)
+    assert bench.last() == booking
+    assert not bench.answers
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -41,7 +41,7 @@
 #: seconds.
 SUSPECT_AFTER_S: Final = 0.6
 
-#: Silence, while outcomes are pending, after which the link is closed, in
+#: Silence, while outcomes are pending, after which the peer counts as lost, in
 #: seconds. TCP retransmits lost packets within about a second.
 LOST_AFTER_S: Final = 1.5
 
@@ -70,6 +70,12 @@
     def suspected(self, node: NodeId) -> None:
         """Handle a peer that is silent although outcomes are pending."""
 
+    def stalled(self, node: NodeId) -> None:
+        """Handle a peer that is silent for so long that it may be lost.
+
+        Its link stays open for the requests that no other node may run.
+        """
+
     def round_trip_measured(self, peer: Peer, round_trip_s: float) -> None:
         """Handle a measured round-trip time to a peer."""
 
@@ -105,7 +111,12 @@
         Announcement of the node at the other end; None until its Hello has
         been read.
     pending
-        Attempts that were sent over the link and have no outcome yet.
+        Attempts that were sent over the link and have no outcome yet, and
+        whether they are idempotent.
+    received_at
+        Time at which the link was last seen to work.
+    unsent
+        Number of bytes that were not sent at the last check.
     compressor
         Compresses sent messages; None if they are sent uncompressed.
     """
@@ -117,8 +128,9 @@
         self.links = links
         self.expected = expected
         self.peer: Peer | None = None
-        self.pending: set[int] = set()
+        self.pending: dict[int, bool] = {}
         self.received_at: float = 0
+        self.unsent = 0
         self.pinged_at: float = 0
         self.is_up = False
         self.forwarded_at: float = 0
@@ -148,18 +160,22 @@
         if isinstance(message, messages.Forward):
             if not self.pending:
                 self.received_at = self.links.reactor.seconds()
-            self.pending.add(message.attempt)
+            self.pending[message.attempt] = message.idempotent
         elif isinstance(message, messages.Cancel):
-            self.pending.discard(message.attempt)
+            self.pending.pop(message.attempt, None)
         payload = messages.encode(message)
         if self.compressor is not None:
             payload = self.compressor.compress(payload)
         self.links.traffic.sent(self.peer, type(message).__name__, len(payload))
         self.sendString(payload)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read a part of a message; a large one may take seconds to arrive."""
+        self.received_at = self.links.reactor.seconds()
+        super().dataReceived(data)
+
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Read a message; close the link if it violates the protocol."""
-        self.received_at = self.links.reactor.seconds()
         try:
             message = messages.decode(self.decompressor.decompress(string))
         except (messages.MessageError, CompressionError) as error:
@@ -178,7 +194,7 @@
             message,
             messages.Answered | messages.Refused | messages.Failed,
         ):
-            self.pending.discard(message.attempt)
+            self.pending.pop(message.attempt, None)
         elif isinstance(message, messages.Forward):
             self.forwarded_at = self.received_at
         # An odd message of one peer must not end its link, and with it all the
@@ -203,17 +219,27 @@
         """Send a Ping if it is due; close the link if the peer is silent.
 
         Silence counts only while outcomes are pending: the peer is sent a
-        Ping, then reported as suspected, then the link is closed. An idle link
-        is pinged only to measure its round-trip time.
+        Ping, then reported as suspected, then counts as lost. An idle link is
+        pinged only to measure its round-trip time.
+
+        The link to a lost peer is closed unless a request is pending that must
+        not be repeated. The peer may only have been paused, and closing the link
+        would abort the request at its backend server.
         """
+        unsent = sockets.unsent_bytes(self.transport)
+        if unsent < self.unsent:
+            self.received_at = now
+        self.unsent = unsent
         if not self.pending:
             if now - self.pinged_at > ROUND_TRIP_INTERVAL_S:
                 self._ping(now)
             return
         silence_s = now - self.received_at
-        if silence_s > LOST_AFTER_S:
+        if silence_s > LOST_AFTER_S and all(self.pending.values()):
             self.transport.abortConnection()
             return
+        if silence_s > LOST_AFTER_S:
+            self.links.events.stalled(self.expected)
         if silence_s > SUSPECT_AFTER_S:
             self.links.events.suspected(self.expected)
         if silence_s > PING_AFTER_S and now - self.pinged_at > PING_AFTER_S:
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -62,6 +62,9 @@
     def suspected(self, node):
         self.log.append(('suspected', node))
 
+    def stalled(self, node):
+        self.log.append(('stalled', node))
+
     def peer_replaced(self, node):
         self.log.append(('replaced', node))
 
@@ -150,7 +153,7 @@
     link = bench.reactor.dialled[-1][1].buildProtocol(None)
     link.makeConnection(FakeTransport())
     bench.deliver(link, messages.Hello(peer('n2'), 'n1'))
-    assert link.pending == {1}
+    assert list(link.pending) == [1]
 
 
 def test_request_is_returned_if_its_link_cannot_be_opened(bench):
@@ -281,6 +284,35 @@
     assert ('closed', 'n2') not in bench.events.log
 
 
+def test_requests_that_others_can_run_leave_a_silent_peer(bench):
+    # Guards against idempotent requests that wait for a paused node because a
+    # booking is in flight there.
+    link = bench.dial()
+    link.send(forward(1, idempotent=False))
+    link.send(forward(2))
+    bench.reactor.pump(repeat(0.1, 14))
+    assert ('stalled', 'n2') not in bench.events.log
+    bench.reactor.pump(repeat(0.1, 3))
+    assert ('stalled', 'n2') in bench.events.log
+
+
+@pytest.mark.parametrize('is_received', [True, False])
+def test_link_that_carries_a_large_message_is_not_silent(bench, is_received):
+    # Guards against a link that is closed while a large body is on its way over
+    # a narrow line: 1 MB takes 1.6 s at 5 Mbit/s.
+    link = bench.dial()
+    link.send(forward(1))
+    part = len(bytes(100)).to_bytes(4, 'big')
+    for size in range(40, 0, -1):
+        if is_received:
+            link.dataReceived(part)
+            part = b'x'
+        else:
+            link.transport.dataBuffer = bytes(size)
+        bench.reactor.advance(0.1)
+    assert not link.transport.disconnecting
+
+
 def test_message_that_cannot_be_handled_does_not_end_the_link(bench):
     # Guards against an odd message that ends all requests in flight on a link,
     # again after each new connection.
--- a/packages/gateway/bilberryrail/gateway/message_router.py
+++ b/packages/gateway/bilberryrail/gateway/message_router.py
@@ -170,6 +170,11 @@
         """Avoid a target whose outcomes are overdue."""
         self.presence.candidates.avoid(node, Seconds(self.clock.seconds()))
 
+    def stalled(self, node: NodeId) -> None:
+        """Give up the requests at a silent target that others can run."""
+        self.presence.candidates.avoid(node, Seconds(self.clock.seconds()))
+        self.ports.ingress.link_lost(node, may_recover=True)
+
     def round_trip_measured(self, peer: Peer, round_trip_s: float) -> None:
         """Record the measured round-trip time to a peer."""
         self.presence.candidates.distances.round_trip_measured(
