Write odd records and heartbeats in the soak, and read the logs of nodes

Another writer leaves announcements of a node that does not exist, with a port, a number or a nesting that no node sends, notes among the operators' records, and heartbeats with numbers that are too large. The soak also fails if a log tells of an unexpected error, or of a node that used such an announcement. The tests of deeply nested messages now reach the decoder's recursion; before, the type of the first field stopped it.

--- a/packages/forwarding/bilberryrail/forwarding/odd_messages_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/odd_messages_test.py
@@ -56,10 +56,11 @@
 def test_deeply_nested_message_is_rejected():
     # Guards against an error that is not expected of a decoder and ends the
     # task that reads: RecursionError.
-    tag_of_load = b'\x92\x07'
-    assert rejected(tag_of_load + DEEP)
-    with pytest.raises(messages.MessageError):
-        messages.decode_peer(DEEP)
+    ping_with_a_field = b'\x92\x08'
+    assert rejected(ping_with_a_field + DEEP)
+    peer_with_a_field = b'\x81\xa1x'
+    with pytest.raises(messages.MessageError, match='recursion'):
+        messages.decode_peer(peer_with_a_field + DEEP)
 
 
 @pytest.mark.parametrize('odd', ODD_NUMBERS)
--- a/packages/soak/bilberryrail/soak/fleet.py
+++ b/packages/soak/bilberryrail/soak/fleet.py
@@ -8,6 +8,7 @@
 import time
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 from typing import Any, Final
 
 from bilberryrail.adapter import names
@@ -28,6 +29,19 @@
 _SETTINGS_VARIABLE: Final = 'BILBERRYRAIL_SETTINGS'
 
 
+#: Name of a node that does not exist, in odd announcements.
+STRANGER: Final = 'stranger'
+
+#: What must not be in the log of a process, and what it means there.
+_LOG_FAULTS: Final = MappingProxyType(
+    {
+        b'event=task_failed': 'a task met an unexpected error',
+        b'Traceback (most recent': 'an unexpected error was not logged',
+        b'peer=%b ' % STRANGER.encode(): 'an odd announcement was used',
+    }
+)
+
+
 class NodeProcess:
     """The process of one node.
 
@@ -69,6 +83,11 @@
         if self.is_running:
             self.child.send_signal(signum)
 
+    def faults_in_log(self) -> list[str]:
+        """Return what the log shows that must never happen to a process."""
+        logged = self.output.read_bytes()
+        return [fault for mark, fault in _LOG_FAULTS.items() if mark in logged]
+
     def end(self) -> None:
         """Kill the process and wait until it has ended."""
         if self.child is not None:
--- /dev/null
+++ b/packages/soak/bilberryrail/soak/odd_records.py
@@ -0,0 +1,109 @@
+"""Leaves odd records in the store, and sends odd heartbeats to nodes."""
+
+from random import Random
+from typing import Any, Final
+
+import msgspec
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import deferLater
+
+from bilberryrail.adapter import names
+from bilberryrail.gateway.http_channel import ChannelError, HttpChannel
+from bilberryrail.soak.fleet import STRANGER, Fleet
+
+#: Mean pause between two odd records, in seconds.
+PAUSE_S: Final = 2.0
+
+_TIMEOUT_S: Final = 1.0
+_MAX_PORT: Final = 65535
+
+_NUMBERS: Final = (0, -1, 70_000, 2**63 - 1, 2**64 - 1)
+_DEEP_JSON: Final = b'{"x":%b' % (b'[' * 100_000)
+#: A map with one field, whose name is not known and whose value is nested.
+_DEEP_MESSAGE: Final = b'\x81\xa1x%b' % (b'\x91' * 100_000)
+
+
+class OddRecordDriver:
+    """Writes what no node or backend server of this version would write.
+
+    It has random numbers of its own, so that a seed still gives the faults with
+    which it once failed.
+
+    Attributes
+    ----------
+    history
+        Time and kind of each record, and the host that it concerns.
+    """
+
+    def __init__(self, reactor: Any, seed: int, fleet: Fleet) -> None:
+        self.reactor = reactor
+        self.random = Random(seed)
+        self.fleet = fleet
+        self.history: list[tuple[float, str, str]] = []
+
+    async def run(self, ends_at: float) -> None:
+        """Write odd records until a time."""
+        kinds = (self.announce, self.write_note, self.send_heartbeat)
+        while self.reactor.seconds() < ends_at:
+            pause_s = self.random.expovariate(1 / PAUSE_S)
+            await deferLater(self.reactor, pause_s)
+            kind = self.random.choice(kinds)
+            host = self.random.choice(self.fleet.hosts).name
+            self.history.append((self.reactor.seconds(), kind.__name__, host))
+            kind(host)
+
+    def announce(self, host: str) -> None:
+        """Write an announcement of a node that does not exist."""
+        odd = {
+            'node': STRANGER,
+            'incarnation': 1,
+            'started_ms': self.random.choice(_NUMBERS),
+            'serial': self.random.choice(_NUMBERS),
+            'host': self.random.choice(('127.0.0.1', 'nowhere', '')),
+            'port': self.random.choice((0, _MAX_PORT + 1, -1)),
+            'zone': 'nowhere',
+            'region': 'nowhere',
+            'service': 'nothing',
+            'instance': '',
+            'phase': 'ready',
+        }
+        payload = msgspec.msgpack.encode(odd)
+        payload = self.random.choice((payload, _DEEP_MESSAGE, b'\xff'))
+        self.fleet.log.put(names.MEMBER_TOPIC, STRANGER, payload)
+
+    def write_note(self, host: str) -> None:
+        """Write a record of the operators that has no meaning to a node."""
+        self.fleet.log.put(names.OPERATOR_TOPIC, 'note', _DEEP_JSON)
+
+    def send_heartbeat(self, host: str) -> None:
+        """Send a heartbeat with an odd number, or one that is nested deeply."""
+        backend = self.fleet.backends[host]
+        body = {
+            'service': backend.service,
+            'address': f'{backend.address.host}:{backend.address.port}',
+            'zone': backend.zone,
+            'version': 'v1',
+            'slots': backend.slots,
+            'state': 'ready',
+            'cold_remaining': 0,
+            'seq': 1,
+            'born': backend.born_ms,
+        }
+        field = self.random.choice(('slots', 'seq', 'born', 'cold_remaining'))
+        body[field] = self.random.choice((10**30, 2**64, 1e300, -1))
+        payload = msgspec.json.encode(body)
+        payload = self.random.choice((payload, _DEEP_JSON))
+        target = names.INSTANCES_PATH + backend.instance.encode()
+        ensureDeferred(self._send(host, target, payload))
+
+    async def _send(self, host: str, target: bytes, payload: bytes) -> None:
+        address = self.fleet.nodes[host].host.address('control')
+        channel = HttpChannel(
+            self.reactor, address.host, address.port, _TIMEOUT_S
+        )
+        try:
+            await channel.request(b'PUT', target, (), payload, _TIMEOUT_S)
+        except ChannelError:
+            # The node may be down; what it answers does not matter here.
+            return
+        channel.close()
--- a/packages/soak/bilberryrail/soak/run.py
+++ b/packages/soak/bilberryrail/soak/run.py
@@ -1,5 +1,6 @@
 """Runs one soak: start, faults, recovery, check of the guarantees."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from http import HTTPStatus
 from pathlib import Path
@@ -15,6 +16,7 @@
 from bilberryrail.soak.crashes import CrashDriver
 from bilberryrail.soak.faults import FaultDriver
 from bilberryrail.soak.fleet import Fleet
+from bilberryrail.soak.odd_records import OddRecordDriver
 from bilberryrail.soak.restores import RestoreDriver
 from bilberryrail.soak.statements import StatementDriver
 
@@ -95,6 +97,7 @@
         self.statements = StatementDriver(reactor, settings.seed, self.fleet)
         self.restores = RestoreDriver(reactor, settings.seed, self.fleet)
         self.crashes = CrashDriver(reactor, settings.seed, self.fleet)
+        self.odd_records = OddRecordDriver(reactor, settings.seed, self.fleet)
         self.started_at: float = 0
 
     def run(self) -> Any:
@@ -119,6 +122,7 @@
         stating = self.statements.run(ends_at, self.settings.statement_pause_s)
         ensureDeferred(stating)
         ensureDeferred(self.restores.run(ends_at))
+        ensureDeferred(self.odd_records.run(ends_at))
         crashes_end_at = ends_at + RECOVERY_S + FAULT_FREE_S
         self.crashes.start(self.settings.faults_s, crashes_end_at)
         while self.reactor.seconds() < ends_at:
@@ -135,6 +139,11 @@
             now, self.reactor.seconds() - 1.5
         )
 
+    def _faults_in_logs(self) -> Iterator[str]:
+        for name, node in self.fleet.nodes.items():
+            for fault in node.faults_in_log():
+                yield f'log: {name}: {fault}'
+
     def _report(self) -> SoakReport:
         observations = self.fleet.observations
         return SoakReport(
@@ -144,7 +153,7 @@
                 call.status == HTTPStatus.OK for call in observations.calls
             ),
             runs=len(observations.runs),
-            violations=tuple(violations(observations)),
+            violations=(*violations(observations), *self._faults_in_logs()),
             history=tuple(
                 (round(at - self.started_at, 2), name, host)
                 for at, name, host in sorted(
@@ -152,6 +161,7 @@
                     + self.statements.history
                     + self.restores.history
                     + self.crashes.history
+                    + self.odd_records.history
                 )
             ),
             folder=self.folder,
