Reject deeply nested bytes also in the product's own interface

The same cause on related paths: codec, intents, plans, tokens, health reports and the command line did not expect RecursionError of msgspec. DECODE_ERRORS names what it raises. The two new cases of the codec fail without the change. The node of deploy/system.toml does not run this code.

--- a/packages/cli/bilberryrail/cli/client.py
+++ b/packages/cli/bilberryrail/cli/client.py
@@ -17,6 +17,7 @@
 
 from bilberryrail.cli.errors import BadInput, ClientError, Unreachable
 from bilberryrail.cli.messages import ChangeVerdict, Plan, Rejection, Status
+from bilberryrail.core.errors import DECODE_ERRORS
 
 #: Time limit for the answer of one address, in seconds.
 REQUEST_TIMEOUT_S = 5.0
@@ -177,14 +178,14 @@
 def _describe_server_error(status: int, body: bytes) -> str:
     try:
         return msgspec.json.decode(body, type=Rejection).error
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return f'HTTP status {status}'
 
 
 def _client_error(status: int, body: bytes) -> BadInput:
     try:
         rejection = msgspec.json.decode(body, type=Rejection)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return BadInput(f'the node answered with HTTP status {status}')
     where = f'{rejection.field}: ' if rejection.field else ''
     return BadInput(f'{where}{rejection.error}')
@@ -196,7 +197,7 @@
 ) -> Result[Answer, ClientError]:
     try:
         return Ok(msgspec.json.decode(raw, type=answer_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Err(
             BadInput(f'not a valid {answer_type.__name__.strip("_")}: {error}'),
         )
--- a/packages/control/bilberryrail/control/intents.py
+++ b/packages/control/bilberryrail/control/intents.py
@@ -10,6 +10,7 @@
 from bilberryrail.control.errors import IntentError
 from bilberryrail.control.json_errors import field_and_reason
 from bilberryrail.control.settings import MAX_DURATION_S, NAME
+from bilberryrail.core.errors import DECODE_ERRORS
 from bilberryrail.core.ids import (
     AvailabilityZoneId,
     RegionId,
@@ -71,7 +72,7 @@
     """Decode an intent and check that it does not contradict itself."""
     try:
         intent = msgspec.json.decode(raw, type=Intent)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         field, reason = field_and_reason(error, 'intent')
         return Err(IntentError(field, reason))
     problem = next(_contradictions(intent), None)
--- a/packages/control/bilberryrail/control/plan_json.py
+++ b/packages/control/bilberryrail/control/plan_json.py
@@ -13,6 +13,7 @@
     NEW_WORK_STOPS_WITHIN_S,
     Plan,
 )
+from bilberryrail.core.errors import DECODE_ERRORS
 from bilberryrail.core.ids import Offset, RecordId
 from bilberryrail.core.records import (
     AvailabilityZoneConfig,
@@ -64,7 +65,7 @@
     """Decode a plan that an operator has confirmed."""
     try:
         read = msgspec.json.decode(raw, type=_PlanJson)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Err(PlanError(*field_and_reason(error, 'plan')))
     edits: list[Edit] = []
     for index, encoded in enumerate(read.edits):
--- a/packages/core/bilberryrail/core/codec.py
+++ b/packages/core/bilberryrail/core/codec.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from bilberryrail.core import records
-from bilberryrail.core.errors import CodecError
+from bilberryrail.core.errors import DECODE_ERRORS, CodecError
 
 _RECORD_TYPES: Final = MappingProxyType(
     {
@@ -77,7 +77,7 @@
     """Decode a record read from the log or from another node."""
     try:
         return Ok(_decode_record(encoded))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Err(CodecError(reason=f'record cannot be decoded: {error}'))
 
 
@@ -95,7 +95,7 @@
     """Decode a cluster state from the parts of a snapshot."""
     try:
         return Ok(msgspec.msgpack.decode(encoded, type=records.ClusterState))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return Err(CodecError(reason=f'state cannot be decoded: {error}'))
 
 
--- a/packages/core/bilberryrail/core/codec_test.py
+++ b/packages/core/bilberryrail/core/codec_test.py
@@ -84,3 +84,12 @@
     """Guards against an unknown kind that is misread, or not reported."""
     encoded = codec.encode_record(_RECORDS[1]).replace(b'join', b'jump')
     assert 'snapshot-part' in codec.decode_record(encoded).err().reason
+
+
+@pytest.mark.parametrize('decode', [codec.decode_record, codec.decode_state])
+def test_deeply_nested_bytes_are_rejected(decode):
+    # Guards against an error that no caller of the codec expects, so that one
+    # record ends the task that reads the log.
+    field_of_no_name = b'\x81\xa1x'
+    nested = field_of_no_name + b'\x91' * 100_000
+    assert decode(nested).is_err()
--- a/packages/node/bilberryrail/node/backend_client.py
+++ b/packages/node/bilberryrail/node/backend_client.py
@@ -10,6 +10,7 @@
 from twisted.internet import error
 from twisted.python.failure import Failure
 
+from bilberryrail.core.errors import DECODE_ERRORS
 from bilberryrail.node.backend_pool import BackendPool
 from bilberryrail.node.bodies import StoredAttempt
 from bilberryrail.node.engine_task import EngineTask
@@ -179,7 +180,7 @@
 def _health_report(body: bytes) -> BackendReport | None:
     try:
         health = msgspec.json.decode(body, type=_Health)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         return None
     return BackendReport(
         in_flight=health.in_flight,
--- a/packages/policy/bilberryrail/policy/tokens.py
+++ b/packages/policy/bilberryrail/policy/tokens.py
@@ -11,6 +11,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from bilberryrail.core.errors import DECODE_ERRORS
 from bilberryrail.core.ids import (
     Incarnation,
     NodeId,
@@ -148,7 +149,7 @@
     mac, payload = raw[:_MAC_BYTES], raw[_MAC_BYTES:]
     try:
         reservation = msgspec.msgpack.decode(payload, type=Reservation)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return _error(TokenFault.MALFORMED, f'not a reservation: {error}')
     if _to_text(raw) != token:
         return _error(TokenFault.MALFORMED, 'not the canonical encoding')
