--- a/packages/gateway/bilberryrail/gateway/answer_reader.py
+++ b/packages/gateway/bilberryrail/gateway/answer_reader.py
@@ -185,6 +185,6 @@
 
 
 def _check_not_merged(text: bytes) -> None:
-    """Raise ``FramingError`` if a text holds the begin of another answer."""
+    """Raise ``FramingError`` if a text holds the beginning of another answer."""
     if _STATUS_LINE.search(text):
         raise FramingError('a head holds the status line of another answer')
--- a/packages/gateway/bilberryrail/gateway/http_server.py
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -235,15 +235,16 @@
             slot.answer = answer
             self._flush()
 
+        abandon: Abandon | None = None
         try:
-            slot.abandon = self.server.service.serve(
-                request, self.host, respond
-            )
+            abandon = self.server.service.serve(request, self.host, respond)
         except Exception:
             log_failure(self.server.log, Failure())
             if slot.answer is None:
                 # The request may have been passed on before the error.
                 respond(HttpAnswer(HTTPStatus.BAD_GATEWAY, is_own=True))
+        if slot.answer is None:
+            slot.abandon = abandon
         if len(self.slots) >= MAX_PIPELINED and not self.is_paused:
             self.is_paused = True
             self.transport.pauseProducing()
--- a/packages/gateway/bilberryrail/gateway/http_server_test.py
+++ b/packages/gateway/bilberryrail/gateway/http_server_test.py
@@ -338,3 +338,20 @@
         bench.transport.take(100)
         bench.clock.advance(1.0)
     assert not bench.transport.half_closed
+
+
+@pytest.mark.usefixtures('no_collector')
+def test_memory_of_a_refused_request_is_released_without_the_collector(bench):
+    # Guards against the same for a request that is answered before the service
+    # returns the function that abandons it.
+    bodies = []
+
+    def refuse(request, client, respond):
+        body = Body()
+        bodies.append(weakref.ref(body))
+        respond(HttpAnswer(503))
+        return partial(bench.service.gone.append, (body, respond))
+
+    bench.service.serve = refuse
+    bench.send(get(b'/1'))
+    assert bodies[0]() is None
