--- a/packages/soak/bilberryrail/soak/fleet.py
+++ b/packages/soak/bilberryrail/soak/fleet.py
@@ -107,6 +107,8 @@
         Proxy for the connections from each host to the store.
     ports
         Server and listening port of the backend server of each host.
+    listening
+        All listening ports of the stand-ins and proxies.
     written
         Newest record of the operators for each key.
     """
@@ -136,6 +138,7 @@
         self.backends: dict[str, BackendServer] = {}
         self.ports: dict[str, tuple[HttpServer, Any]] = {}
         self.callers: list[Caller] = []
+        self.listening: list[Any] = []
         self.version = 1
         self.written: dict[str, bytes] = {}
         self._serve(topology.store_address(network), self.log)
@@ -163,6 +166,10 @@
             backend.is_stopped = True
         for node in self.nodes.values():
             node.end()
+        # Soaks with the same addresses may follow, in this process or another.
+        for port in self.listening:
+            port.stopListening()
+        self.listening.clear()
 
     def write_config(self, board_weight: int) -> None:
         """Write a new configuration to the log, as operators do."""
@@ -250,9 +257,11 @@
         self._listen(address, HttpServer(self.reactor, service, _ignore))
 
     def _listen(self, address: Any, factory: Any) -> Any:
-        return self.reactor.listenTCP(
+        port = self.reactor.listenTCP(
             address.port, factory, interface=address.host
         )
+        self.listening.append(port)
+        return port
 
 
 def _ignore(event: str, **fields: object) -> None:
