Name malformed input after the usual term

The tests, the soak and a function of the membership said odd and fault; they say malformed, out of range and rejection reason now. No behaviour changes.

--- a/packages/core/bilberryrail/core/errors.py
+++ b/packages/core/bilberryrail/core/errors.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-#: What msgspec raises for bytes that it cannot decode: ``MsgspecError`` for most,
-#: ``UnicodeDecodeError`` for text that is not valid UTF-8, and ``RecursionError``
-#: for values that are nested deeply.
+#: What msgspec raises for bytes that it cannot decode: ``MsgspecError`` for
+#: most, ``UnicodeDecodeError`` for text that is not valid UTF-8, and
+#: ``RecursionError`` for values that are nested deeply.
 DECODE_ERRORS: Final = (
     msgspec.MsgspecError,
     UnicodeDecodeError,
--- a/packages/forwarding/bilberryrail/forwarding/odd_messages_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/malformed_messages_test.py
@@ -14,7 +14,15 @@
 from bilberryrail.forwarding.records import BackendLoad, Refusal
 
 DEEP = b'\x91' * 100_000
-ODD_NUMBERS = (math.nan, math.inf, -math.inf, 1e300, 2**64 - 1, -(2**63), -1)
+INVALID_NUMBERS = (
+    math.nan,
+    math.inf,
+    -math.inf,
+    1e300,
+    2**64 - 1,
+    -(2**63),
+    -1,
+)
 
 _MESSAGES = (
     messages.Forward,
@@ -46,10 +54,10 @@
     return False
 
 
-def with_field(message, index, odd):
+def with_field(message, index, invalid):
     """Encode a message in which one field has another value."""
     fields = msgspec.msgpack.decode(messages.encode(message))
-    fields[index + 1] = odd
+    fields[index + 1] = invalid
     return msgspec.msgpack.encode(fields)
 
 
@@ -63,22 +71,22 @@
         messages.decode_peer(peer_with_a_field + DEEP)
 
 
-@pytest.mark.parametrize('odd', ODD_NUMBERS)
+@pytest.mark.parametrize('invalid', INVALID_NUMBERS)
 @pytest.mark.parametrize('field', ['remaining_s', 'max_answer_s', 'priority'])
-def test_request_with_an_odd_number_is_rejected(field, odd):
+def test_request_with_a_number_out_of_range_is_rejected(field, invalid):
     # Guards against a target that cannot pass a remaining time on, and against
     # timers that never fire.
     fields = messages.Forward.__struct_fields__
-    payload = with_field(forward(1), fields.index(field), odd)
-    is_allowed = field == 'priority' and odd == -1
+    payload = with_field(forward(1), fields.index(field), invalid)
+    is_allowed = field == 'priority' and invalid == -1
     assert rejected(payload) is not is_allowed
 
 
-@pytest.mark.parametrize('odd', ODD_NUMBERS)
-def test_load_report_with_an_odd_number_is_rejected(odd):
+@pytest.mark.parametrize('invalid', INVALID_NUMBERS)
+def test_load_report_with_a_number_out_of_range_is_rejected(invalid):
     # Guards against estimates that an infinite duration spoils for good.
     for field in ('running', 'limit', 'slowdown', 'service_s', 'memory_s'):
-        load = BackendLoad(**{field: odd})
+        load = BackendLoad(**{field: invalid})
         assert rejected(messages.encode(messages.Load(load)))
 
 
@@ -101,19 +109,19 @@
     assert messages.decode(messages.encode(message)) == message
 
 
-def test_announcement_with_an_odd_number_is_rejected():
+def test_announcement_with_a_number_out_of_range_is_rejected():
     # Guards against a port that cannot be connected to, and against a sum of
     # versions that no message can carry.
-    odd_fields = (
+    invalid_fields = (
         ('port', 0),
         ('port', 70_000),
         ('started_ms', 2**60),
         ('serial', 2**60),
         ('born_ms', -1),
     )
-    for name, odd in odd_fields:
+    for name, invalid in invalid_fields:
         fields = msgspec.msgpack.decode(messages.encode_peer(peer('n2')))
-        fields[name] = odd
+        fields[name] = invalid
         with pytest.raises(messages.MessageError):
             messages.decode_peer(msgspec.msgpack.encode(fields))
 
--- a/packages/forwarding/bilberryrail/forwarding/membership.py
+++ b/packages/forwarding/bilberryrail/forwarding/membership.py
@@ -104,7 +104,7 @@
         ]
 
 
-def find_fault(peer: Peer, now_ms: int) -> str | None:
+def rejection_reason(peer: Peer, now_ms: int) -> str | None:
     """Return why an announcement cannot be used; None if it can.
 
     Anybody may write to the topic of the announcements, so one may be readable
--- a/packages/forwarding/bilberryrail/forwarding/membership_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/membership_test.py
@@ -4,7 +4,7 @@
 
 from bilberryrail.forwarding.bounds import MAX_CLOCK_LEAD_MS
 from bilberryrail.forwarding.fixtures_test import peer
-from bilberryrail.forwarding.membership import Membership, find_fault
+from bilberryrail.forwarding.membership import Membership, rejection_reason
 
 NOW_MS = 1_800_000_000_000
 
@@ -61,7 +61,7 @@
 
 
 @pytest.mark.parametrize(
-    'odd',
+    'invalid',
     [
         peer(''),
         peer('n2', host='example'),
@@ -70,20 +70,22 @@
         peer('n2', started_ms=NOW_MS + MAX_CLOCK_LEAD_MS + 1),
     ],
 )
-def test_announcement_of_no_node_has_a_fault(odd):
+def test_announcement_of_no_node_is_rejected(invalid):
     # Guards against links to hosts that do not exist, and against a record
     # that stays the newest one of a node for ever.
-    assert find_fault(odd, NOW_MS)
+    assert rejection_reason(invalid, NOW_MS)
 
 
-def test_announcement_of_a_node_has_no_fault():
+def test_announcement_of_a_node_is_accepted():
     # Guards against nodes that are ignored because their clock is a bit ahead.
-    assert find_fault(peer('n2', started_ms=NOW_MS + 60_000), NOW_MS) is None
+    assert (
+        rejection_reason(peer('n2', started_ms=NOW_MS + 60_000), NOW_MS) is None
+    )
 
 
 def test_announcement_at_this_nodes_address_is_ignored():
     # Guards against a record by which a node forgets itself.
     membership = Membership(peer('n1', host='10.1.0.1'))
-    odd = peer('n2', host='10.1.0.1', started_ms=9000)
-    assert not membership.merge([odd])
+    invalid = peer('n2', host='10.1.0.1', started_ms=9000)
+    assert not membership.merge([invalid])
     assert membership.all() == [membership.own]
--- a/packages/gateway/bilberryrail/gateway/control_test.py
+++ b/packages/gateway/bilberryrail/gateway/control_test.py
@@ -168,7 +168,7 @@
 
 
 def test_heartbeat_of_a_run_that_starts_in_the_future_is_rejected(owner):
-    # Guards against an odd heartbeat that makes all later ones look old.
+    # Guards against a malformed heartbeat that makes all later ones look old.
     later_ms = wall_ms() + 2 * MAX_CLOCK_LEAD_MS
     assert owner.announce(heartbeat(born_ms=later_ms)) == [400]
     assert owner.announce(heartbeat()) == [200]
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -197,8 +197,8 @@
             self.pending.pop(message.attempt, None)
         elif isinstance(message, messages.Forward):
             self.forwarded_at = self.received_at
-        # An odd message of one peer must not end its link, and with it all the
-        # requests that are in flight there.
+        # A message whose handler fails must not end the link, and with it all
+        # the requests that are in flight there.
         guard(
             partial(self.links.events.received, self, message), self.links.log
         )
@@ -223,8 +223,8 @@
         pinged only to measure its round-trip time.
 
         The link to a lost peer is closed unless a request is pending that must
-        not be repeated. The peer may only have been paused, and closing the link
-        would abort the request at its backend server.
+        not be repeated. The peer may only have been paused, and closing the
+        link would abort the request at its backend server.
         """
         unsent = sockets.unsent_bytes(self.transport)
         if unsent < self.unsent:
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -314,7 +314,7 @@
 
 
 def test_message_that_cannot_be_handled_does_not_end_the_link(bench):
-    # Guards against an odd message that ends all requests in flight on a link,
+    # Guards against a message that ends all requests in flight on a link,
     # again after each new connection.
     link = bench.dial()
 
--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -17,7 +17,7 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.ingress import Ingress
-from bilberryrail.forwarding.membership import Membership, find_fault
+from bilberryrail.forwarding.membership import Membership, rejection_reason
 from bilberryrail.forwarding.records import (
     BackendPhase,
     Clearance,
@@ -233,10 +233,10 @@
                 self.candidates.avoid(node, now)
 
     def _is_usable(self, peer: Peer) -> bool:
-        fault = find_fault(peer, wall_ms())
-        if fault is not None:
-            self.log('bad_announcement', key=peer.node, reason=fault)
-        return fault is None
+        reason = rejection_reason(peer, wall_ms())
+        if reason is not None:
+            self.log('bad_announcement', key=peer.node, reason=reason)
+        return reason is None
 
     def _announce(self, announced: Peer) -> None:
         self.membership.announce(announced)
--- a/packages/gateway/bilberryrail/gateway/presence_test.py
+++ b/packages/gateway/bilberryrail/gateway/presence_test.py
@@ -219,14 +219,14 @@
     assert len(told | bench.links.persistent) == near + far
 
 
-def test_odd_announcement_is_skipped_and_the_others_are_used(bench):
-    # Guards against one odd entry among the announcements: a link to a host that
-    # does not exist, or this node's own start moved into the future.
-    odd = [
+def test_malformed_announcement_is_skipped_and_the_others_are_used(bench):
+    # Guards against one malformed entry among the announcements: a link to a
+    # host that does not exist, or this node's own start in the future.
+    malformed = [
         peer('n2', host='nowhere'),
         peer('n1', started_ms=wall_ms() + 2 * MAX_CLOCK_LEAD_MS),
     ]
     started_ms = bench.membership.own.started_ms
-    changed = bench.presence.merge_announcements([*odd, peer('n3')])
+    changed = bench.presence.merge_announcements([*malformed, peer('n3')])
     assert [one.node for one in changed] == ['n3']
     assert bench.membership.own.started_ms == started_ms
--- a/packages/gateway/bilberryrail/gateway/tasks_test.py
+++ b/packages/gateway/bilberryrail/gateway/tasks_test.py
@@ -8,7 +8,7 @@
 from bilberryrail.gateway.tasks import RESTART_S, PeriodicTask, Supervisor
 
 
-class OddError(Exception):
+class UnexpectedError(Exception):
     """An error that the task does not expect."""
 
 
@@ -26,7 +26,7 @@
     def work(self):
         self.calls += 1
         if self.calls < 3:
-            raise OddError
+            raise UnexpectedError
 
     async def run(self):
         self.work()
--- a/packages/soak/bilberryrail/soak/fleet.py
+++ b/packages/soak/bilberryrail/soak/fleet.py
@@ -29,7 +29,7 @@
 _SETTINGS_VARIABLE: Final = 'BILBERRYRAIL_SETTINGS'
 
 
-#: Name of a node that does not exist, in odd announcements.
+#: Name of a node that does not exist, in malformed announcements.
 STRANGER: Final = 'stranger'
 
 #: What must not be in the log of a process, and what it means there.
@@ -37,7 +37,7 @@
     {
         b'event=task_failed': 'a task met an unexpected error',
         b'Traceback (most recent': 'an unexpected error was not logged',
-        b'peer=%b ' % STRANGER.encode(): 'an odd announcement was used',
+        b'peer=%b ' % STRANGER.encode(): 'a malformed announcement was used',
     }
 )
 
--- a/packages/soak/bilberryrail/soak/odd_records.py
+++ b/packages/soak/bilberryrail/soak/malformed_input.py
@@ -1,4 +1,4 @@
-"""Leaves odd records in the store, and sends odd heartbeats to nodes."""
+"""Writes malformed records to the store and sends malformed heartbeats."""
 
 from random import Random
 from typing import Any, Final
@@ -11,7 +11,7 @@
 from bilberryrail.gateway.http_channel import ChannelError, HttpChannel
 from bilberryrail.soak.fleet import STRANGER, Fleet
 
-#: Mean pause between two odd records, in seconds.
+#: Mean pause between two malformed records, in seconds.
 PAUSE_S: Final = 2.0
 
 _TIMEOUT_S: Final = 1.0
@@ -23,7 +23,7 @@
 _DEEP_MESSAGE: Final = b'\x81\xa1x%b' % (b'\x91' * 100_000)
 
 
-class OddRecordDriver:
+class MalformedInputDriver:
     """Writes what no node or backend server of this version would write.
 
     It has random numbers of its own, so that a seed still gives the faults with
@@ -42,7 +42,7 @@
         self.history: list[tuple[float, str, str]] = []
 
     async def run(self, ends_at: float) -> None:
-        """Write odd records until a time."""
+        """Write malformed records until a time."""
         kinds = (self.announce, self.write_note, self.send_heartbeat)
         while self.reactor.seconds() < ends_at:
             pause_s = self.random.expovariate(1 / PAUSE_S)
@@ -54,7 +54,7 @@
 
     def announce(self, host: str) -> None:
         """Write an announcement of a node that does not exist."""
-        odd = {
+        malformed = {
             'node': STRANGER,
             'incarnation': 1,
             'started_ms': self.random.choice(_NUMBERS),
@@ -67,7 +67,7 @@
             'instance': '',
             'phase': 'ready',
         }
-        payload = msgspec.msgpack.encode(odd)
+        payload = msgspec.msgpack.encode(malformed)
         payload = self.random.choice((payload, _DEEP_MESSAGE, b'\xff'))
         self.fleet.log.put(names.MEMBER_TOPIC, STRANGER, payload)
 
@@ -76,7 +76,7 @@
         self.fleet.log.put(names.OPERATOR_TOPIC, 'note', _DEEP_JSON)
 
     def send_heartbeat(self, host: str) -> None:
-        """Send a heartbeat with an odd number, or one that is nested deeply."""
+        """Send a heartbeat with a number out of range, or nested deeply."""
         backend = self.fleet.backends[host]
         body = {
             'service': backend.service,
--- a/packages/soak/bilberryrail/soak/run.py
+++ b/packages/soak/bilberryrail/soak/run.py
@@ -16,7 +16,7 @@
 from bilberryrail.soak.crashes import CrashDriver
 from bilberryrail.soak.faults import FaultDriver
 from bilberryrail.soak.fleet import Fleet
-from bilberryrail.soak.odd_records import OddRecordDriver
+from bilberryrail.soak.malformed_input import MalformedInputDriver
 from bilberryrail.soak.restores import RestoreDriver
 from bilberryrail.soak.statements import StatementDriver
 
@@ -97,7 +97,9 @@
         self.statements = StatementDriver(reactor, settings.seed, self.fleet)
         self.restores = RestoreDriver(reactor, settings.seed, self.fleet)
         self.crashes = CrashDriver(reactor, settings.seed, self.fleet)
-        self.odd_records = OddRecordDriver(reactor, settings.seed, self.fleet)
+        self.malformed_input = MalformedInputDriver(
+            reactor, settings.seed, self.fleet
+        )
         self.started_at: float = 0
 
     def run(self) -> Any:
@@ -122,7 +124,7 @@
         stating = self.statements.run(ends_at, self.settings.statement_pause_s)
         ensureDeferred(stating)
         ensureDeferred(self.restores.run(ends_at))
-        ensureDeferred(self.odd_records.run(ends_at))
+        ensureDeferred(self.malformed_input.run(ends_at))
         crashes_end_at = ends_at + RECOVERY_S + FAULT_FREE_S
         self.crashes.start(self.settings.faults_s, crashes_end_at)
         while self.reactor.seconds() < ends_at:
@@ -161,7 +163,7 @@
                     + self.statements.history
                     + self.restores.history
                     + self.crashes.history
-                    + self.odd_records.history
+                    + self.malformed_input.history
                 )
             ),
             folder=self.folder,
