--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -21,6 +21,10 @@
     Forward,
     Refused,
 )
+from bilberryrail.forwarding.own_answers import (
+    refusal_answer,
+    without_promise,
+)
 from bilberryrail.forwarding.quarantine import Permission, Quarantine
 from bilberryrail.forwarding.records import (
     REACHED_BACKEND,
@@ -37,12 +41,6 @@
 )
 from bilberryrail.forwarding.settings import ForwardingSettings
 
-#: Retry time sent to the client when no target is known, in seconds.
-NO_TARGET_RETRY_S: Final = 0.3
-
-#: Shortest retry time sent to a client, in seconds.
-MIN_RETRY_S: Final = 0.05
-
 #: Multiple of the next best target's expected time above which a target refuses
 #: the request so that it goes to another one. Sending it again costs a round
 #: trip and the transfer of the body, so a small advantage is not worth it.
@@ -57,16 +55,6 @@
 #: faster.
 _MAX_LATE_REFUSALS: Final = 3
 
-#: Statuses that promise the client that its request has not run and never will.
-_PROMISE_NOT_RUN: Final = frozenset(
-    (
-        HTTPStatus.REQUEST_TIMEOUT,
-        HTTPStatus.MISDIRECTED_REQUEST,
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
-    ),
-)
-
 #: Refusals that show a lack of capacity.
 _OVERLOADED: Final = frozenset((Refusal.BUSY, Refusal.SLOW, Refusal.LATE))
 
@@ -74,10 +62,6 @@
 #: there.
 _WAIT_ALLOWED: Final = frozenset((Refusal.BUSY, Refusal.SLOW))
 
-#: Width of the random factor on retry times, so that clients do not retry at
-#: the same time.
-_RETRY_JITTER: Final = 0.5
-
 
 class TargetLinks(Protocol):
     """Sends messages to targets, through links or within this node."""
@@ -215,7 +199,7 @@
             exchange.route.route, reply.usual_s
         )
         exchange.reached.add(node)
-        answer = _without_promise(reply.answer)
+        answer = without_promise(reply.answer)
         status = answer.status
         if status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self.quarantine.answered(exchange.fingerprint)
@@ -477,32 +461,6 @@
     return min(choice.next_best_s * MAX_ANSWER_FACTOR, MAX_DURATION_S)
 
 
-def refusal_answer(retry_after_s: float, random: Random) -> HttpAnswer:
-    """Build the answer to a request that has not run.
-
-    The retry time is randomized, so that clients do not retry at the same time.
-    """
-    wait_s = max(MIN_RETRY_S, retry_after_s or NO_TARGET_RETRY_S)
-    wait_s *= 1 + _RETRY_JITTER * random.random()
-    header = (b'Retry-After', b'%.3f' % wait_s)
-    return HttpAnswer(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        (header,),
-        is_own=True,
-    )
-
-
-def _without_promise(answer: HttpAnswer) -> HttpAnswer:
-    """Replace an answer whose status says that the request has not run.
-
-    A backend server that has not run a request refuses it; any other answer may
-    come after the run, whatever its status is.
-    """
-    if answer.status in _PROMISE_NOT_RUN:
-        return HttpAnswer(HTTPStatus.BAD_GATEWAY, is_own=True)
-    return answer
-
-
 def _exclude(exchange: Exchange, node: NodeId, reason: Refusal) -> None:
     """Exclude a target for a request, unless the request may wait there."""
     if reason is Refusal.LATE:
--- a/packages/gateway/bilberryrail/gateway/frontend.py
+++ b/packages/gateway/bilberryrail/gateway/frontend.py
@@ -7,8 +7,9 @@
 from bilberryrail.core.ids import Seconds, ServiceId
 from bilberryrail.forwarding.exchanges import Exchange
 from bilberryrail.forwarding.fingerprint import fingerprint_of
-from bilberryrail.forwarding.ingress import Ingress, refusal_answer
+from bilberryrail.forwarding.ingress import Ingress
 from bilberryrail.forwarding.operators import OperatorState
+from bilberryrail.forwarding.own_answers import refusal_answer
 from bilberryrail.forwarding.records import HttpAnswer, HttpRequest, Route
 from bilberryrail.forwarding.routes import SplitChooser
 from bilberryrail.gateway.dialect import Dialect
