Use a node again whose address a record of another writer had claimed

Callers lost a backend server: an announcement in the store that names the address of a live node under another name replaced that node on every other node. Dialling the address showed that the announced node is not there, and it was removed, but the node that answered stayed forgotten until its own announcement changed.

Cause: a forgotten node only returns with a newer announcement, which is right while its successor lives, but not when the successor turns out not to exist. The node that answers at the address now counts as present again.

Evidence: the new test fails without the call of Membership.restore (only near0 keeps its link) and passes with it.

--- a/packages/forwarding/bilberryrail/forwarding/membership.py
+++ b/packages/forwarding/bilberryrail/forwarding/membership.py
@@ -81,6 +81,14 @@
         if known is not None:
             self.forgotten[node] = known
 
+    def restore(self, node: NodeId) -> None:
+        """Accept the announcement of a forgotten node again.
+
+        A node that answers at its address is there, whatever others have
+        announced.
+        """
+        self.forgotten.pop(node, None)
+
     def _is_newer(self, peer: Peer) -> bool:
         own = self.own
         is_own_address = (peer.host, peer.port) == (own.host, own.port)
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -52,8 +52,8 @@
     def make_hello(self, expected: NodeId) -> messages.Hello:
         """Build the Hello message, the first one of a link."""
 
-    def peer_replaced(self, node: NodeId) -> None:
-        """Handle that the address of a peer belongs to another node now."""
+    def peer_replaced(self, node: NodeId, present: Peer) -> None:
+        """Handle that another node is present at the address of a peer."""
 
     def received(self, link: 'Link', message: messages.Message) -> None:
         """Handle a message of the peer."""
@@ -253,7 +253,7 @@
         if self.peer is not None:
             return
         if self.is_outgoing and hello.peer.node != self.expected:
-            self.links.events.peer_replaced(self.expected)
+            self.links.events.peer_replaced(self.expected, hello.peer)
             return
         if not self.is_outgoing and hello.expected != self.links.node:
             # Hello names this node, so that the peer removes the node that it
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -65,8 +65,8 @@
     def stalled(self, node):
         self.log.append(('stalled', node))
 
-    def peer_replaced(self, node):
-        self.log.append(('replaced', node))
+    def peer_replaced(self, node, present):
+        self.log.append(('replaced', node, present.node))
 
     def round_trip_measured(self, found, round_trip_s):
         self.log.append(('measured', found.node, round(round_trip_s, 3)))
@@ -127,7 +127,7 @@
 def test_hello_of_another_node_reports_the_peer_as_replaced(bench):
     # Guards against endless attempts to connect to a node that is gone.
     link = bench.dial('old', answers=messages.Hello(peer('new'), 'n1'))
-    assert ('replaced', 'old') in bench.events.log
+    assert ('replaced', 'old', 'new') in bench.events.log
     assert ('opened', 'new') not in bench.events.log
     assert link.transport.disconnecting
 
--- a/packages/gateway/bilberryrail/gateway/message_router.py
+++ b/packages/gateway/bilberryrail/gateway/message_router.py
@@ -162,9 +162,9 @@
         """Stop using a target to which no link can be opened."""
         self.presence.candidates.mark_unreachable(node)
 
-    def peer_replaced(self, node: NodeId) -> None:
-        """Remove a node whose address belongs to another node now."""
-        self.presence.forget(node)
+    def peer_replaced(self, node: NodeId, present: Peer) -> None:
+        """Remove a node at whose address another node is present."""
+        self.presence.peer_replaced(node, present)
 
     def suspected(self, node: NodeId) -> None:
         """Avoid a target whose outcomes are overdue."""
--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -214,11 +214,17 @@
             )
         return changed
 
-    def forget(self, node: NodeId) -> None:
-        """Remove a node whose address belongs to another node now."""
-        self.log('peer_replaced', peer=node)
+    def peer_replaced(self, node: NodeId, present: Peer) -> None:
+        """Remove a node at whose address another node is present.
+
+        The removed node may never have existed. If its announcement had
+        replaced that of the present node, the latter is used again.
+        """
+        self.log('peer_replaced', peer=node, present=present.node)
         self.candidates.runs.forget(node)
         self.membership.forget(node)
+        self.membership.restore(present.node)
+        self.merge_announcements([present])
         self.apply_membership()
 
     def apply_membership(self) -> None:
--- a/packages/gateway/bilberryrail/gateway/presence_test.py
+++ b/packages/gateway/bilberryrail/gateway/presence_test.py
@@ -181,10 +181,23 @@
 def test_replaced_node_loses_its_link(bench):
     # Guards against endless attempts to connect to a node that is gone.
     bench.learn_fleet(near=2, far=0)
-    bench.presence.forget(NodeId('near1'))
+    bench.presence.peer_replaced(NodeId('near1'), peer('near0'))
     assert bench.links.persistent == {'near0'}
 
 
+def test_record_at_the_address_of_a_node_does_not_remove_that_node(bench):
+    # Guards against a record of another writer that names an address in use:
+    # every node forgot the node there until its announcement changed.
+    bench.learn_fleet(near=2, far=0)
+    present = bench.membership.peers['near1']
+    invalid = peer('invalid', host=present.host, started_ms=9000)
+    bench.presence.merge_announcements([invalid])
+    bench.presence.peer_replaced(NodeId('invalid'), present)
+    assert bench.links.persistent == {'near0', 'near1'}
+    bench.presence.merge_announcements([invalid])
+    assert bench.links.persistent == {'near0', 'near1'}
+
+
 def test_announcement_is_encoded_with_all_its_fields():
     # Guards against a field that is lost by encoding.
     sent = messages.Announce(peer('n1', leaving=True))
