Limit the memory of the request bodies that a node holds

Callers saw their orders lost: three uploads of 60 MB at once, each within the limit of the configuration, took a node over its 300 MB, and the platform ended it.

Cause: bodies were limited one by one and not together, and each was copied up to five times on its way: joined from its chunks, encoded into a message, put behind its length, buffered, and joined again in the buffer.

Change: MemoryBudget limits all bodies that a process holds, from clients and over links. What does not fit is refused with a true 503 and a Retry-After as soon as its length is known. Large bodies cross links in parts between other messages (nodes of the earlier version get whole ones), and are written in chunks of 64 KiB, each when the last one is sent.

--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -43,6 +43,8 @@
         stated; None if it has stated nothing that matters.
     crashes
         Crashes for which the sender has requests in quarantine.
+    accepts_body_parts
+        Whether the sender accepts bodies of requests in parts.
     """
 
     peer: Peer
@@ -50,6 +52,7 @@
     accepts_compression: bool = False
     known: KnownRun | None = None
     crashes: tuple[CrashRecord, ...] = ()
+    accepts_body_parts: bool = False
 
 
 class Announce(msgspec.Struct, array_like=True, tag=1):
@@ -80,6 +83,8 @@
         Identifies the request's content.
     is_trial
         Whether it is sent although it is quarantined.
+    body_bytes
+        Size of a body that follows in parts; zero if ``request`` has the body.
     """
 
     attempt: AttemptId
@@ -93,6 +98,7 @@
     idempotent: bool
     fingerprint: Fingerprint = NO_FINGERPRINT
     is_trial: bool = False
+    body_bytes: Count = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=3):
@@ -224,6 +230,13 @@
     peers: list[Peer]
 
 
+class BodyPart(msgspec.Struct, array_like=True, tag=13):
+    """The next part of the body of a request that was sent without it."""
+
+    attempt: AttemptId
+    body: bytes
+
+
 Message = (
     Hello
     | Announce
@@ -238,6 +251,7 @@
     | Progress
     | Nodes
     | OperatorSnapshot
+    | BodyPart
 )
 
 #: A very deeply nested value makes the decoder raise ``RecursionError``.
--- a/packages/gateway/bilberryrail/gateway/backend_pool.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool.py
@@ -23,13 +23,14 @@
     AnswerReader,
     RawAnswer,
 )
+from bilberryrail.gateway.chunk_producer import ChunkProducer, write_message
 from bilberryrail.gateway.dialect import (
     AnswerHead,
     BackendTerms,
     Dialect,
     Verdict,
 )
-from bilberryrail.gateway.http_text import request_bytes
+from bilberryrail.gateway.http_text import request_head
 from bilberryrail.gateway.settings import Address
 
 #: Timeout for opening a connection on the same host, in seconds.
@@ -74,8 +75,9 @@
     def __init__(self, pool: 'BackendPool') -> None:
         self.pool = pool
         self.work: Work | None = None
-        self.payload = b''
+        self.head = b''
         self.reader: AnswerReader | None = None
+        self.writing: ChunkProducer | None = None
         self.request_count = 0
         self.idle_since = Seconds(0)
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
@@ -88,21 +90,20 @@
         else:
             self.write_request()
 
-    def assign(self, work: Work, payload: bytes) -> None:
+    def assign(self, work: Work, head: bytes) -> None:
         """Assign a request; the caller writes it if the connection is open."""
         self.work = work
-        self.payload = payload
+        self.head = head
 
     def write_request(self) -> None:
         """Write the request."""
         self.request_count += 1
-        is_head = self.work.message.request.method == b'HEAD'
+        request = self.work.message.request
         self.reader = AnswerReader(
             self.pool.max_body_bytes,
-            without_body=is_head,
+            without_body=request.method == b'HEAD',
         )
-        self.transport.write(self.payload)
-        self.payload = b''
+        self.writing = write_message(self.transport, self.head, request.body)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read an answer; unexpected bytes close the connection."""
@@ -190,9 +191,10 @@
         """Return the connection to the pool if it is reusable, or close it.
 
         It is closed after an answer that names no request, since a late copy of
-        that answer could not be told from the answer to the next request.
+        that answer could not be told from the answer to the next request, and
+        after one that arrived before the whole body was written.
         """
-        has_rest = self.reader.current is not None
+        has_rest = self.reader.current is not None or self.writing.is_active
         self.work = None
         self._close_reader()
         if has_rest or not is_reusable or not raw.keeps_alive:
@@ -246,11 +248,11 @@
 
     def dispatch(self, work: Work, instance: InstanceId) -> None:
         """Send a request to the backend server."""
-        payload = self._payload(work, instance)
+        head = self._head(work, instance)
         connection = self._pop_idle(work)
         if connection is None:
             connection = BackendConnection(self)
-            connection.assign(work, payload)
+            connection.assign(work, head)
             self.busy[work.number] = connection
             self.opened += 1
             self.reactor.connectTCP(
@@ -262,7 +264,7 @@
                 timeout=CONNECT_TIMEOUT_S,
             )
         else:
-            connection.assign(work, payload)
+            connection.assign(work, head)
             self.busy[work.number] = connection
             connection.write_request()
 
@@ -347,7 +349,7 @@
         self.busy.pop(work.number, None)
         self.target.not_run(work, Refusal.CONNECT_FAILED)
 
-    def _payload(self, work: Work, instance: InstanceId) -> bytes:
+    def _head(self, work: Work, instance: InstanceId) -> bytes:
         request = work.message.request
         left_s = work.expires_at - self.reactor.seconds()
         terms = BackendTerms(
@@ -356,11 +358,11 @@
             instance=instance,
         )
         headers = self.dialect.backend_headers(request, terms)
-        return request_bytes(
+        return request_head(
             request.method,
             request.target,
             headers,
-            request.body,
+            len(request.body),
         )
 
     def _pop_idle(self, work: Work) -> BackendConnection | None:
--- a/packages/gateway/bilberryrail/gateway/frontend.py
+++ b/packages/gateway/bilberryrail/gateway/frontend.py
@@ -14,6 +14,7 @@
 from bilberryrail.forwarding.routes import SplitChooser
 from bilberryrail.gateway.dialect import Dialect
 from bilberryrail.gateway.http_server import Abandon, Respond
+from bilberryrail.gateway.link import BODY_RETRY_S
 
 #: Retry time stated to clients while no configuration is known, in seconds.
 NO_CONFIG_RETRY_S: Final = 0.3
@@ -126,6 +127,21 @@
         self.ingress.serve(exchange)
         return lambda: self.ingress.abandon(exchange)
 
+    def body_refusal(self, request: HttpRequest, size: int) -> HttpAnswer:
+        """Build the answer to a request whose body takes too much memory.
+
+        Parameters
+        ----------
+        request
+            The request without its body.
+        size
+            Size of the body as far as it is known, in bytes.
+        """
+        terms = self.dialect.client_terms(request)
+        self.log('body_refuse', request=terms.request_id, size=size)
+        answer = refusal_answer(BODY_RETRY_S, self.ingress.random)
+        return self._with_own_headers(answer, terms.request_id)
+
     def _make_exchange(
         self,
         request: HttpRequest,
--- a/packages/gateway/bilberryrail/gateway/http_server.py
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -17,19 +17,17 @@
     HttpRequest,
 )
 from bilberryrail.gateway import sockets
+from bilberryrail.gateway.activity import Activity, LingeringClose
 from bilberryrail.gateway.framing import Framing, FramingError
 from bilberryrail.gateway.http_text import answer_bytes, end_to_end
+from bilberryrail.gateway.memory_budget import MemoryBudget, Reservation
+from bilberryrail.gateway.request_body import RequestBody, stated_length
 from bilberryrail.gateway.tasks import PeriodicTask, log_failure
 
 #: Requests of one connection that are served at the same time; beyond that
 #: number the connection is not read.
 MAX_PIPELINED: Final = 64
 
-#: Time that a closing connection waits for the client to close it too after the
-#: last answer was sent, in seconds. Closing with unread bytes would reset the
-#: connection, possibly before the client has read the answer.
-LINGER_S: Final = 1.0
-
 #: Interval at which connections are checked for idleness, in seconds.
 IDLE_CHECK_S: Final = 1.0
 
@@ -37,6 +35,7 @@
 
 Respond = Callable[[HttpAnswer], None]
 Abandon = Callable[[], None]
+RefuseBody = Callable[[HttpRequest, int], HttpAnswer]
 
 
 class Service(Interface):
@@ -65,6 +64,8 @@
         Abandons the request; None once it is answered. It refers to the
         request, which refers to this slot, so that the body would otherwise
         stay in memory until the garbage collector runs.
+    reservation
+        Memory of the request's body; None if it has none.
     """
 
     def __init__(self, *, is_head: bool, closes: bool) -> None:
@@ -72,6 +73,14 @@
         self.closes = closes
         self.answer: HttpAnswer | None = None
         self.abandon: Abandon | None = None
+        self.reservation: Reservation | None = None
+
+    def end(self) -> None:
+        """Release the request, which is answered or abandoned."""
+        self.abandon = None
+        if self.reservation is not None:
+            self.reservation.release()
+            self.reservation = None
 
 
 class ServerConnection(Protocol):
@@ -83,10 +92,12 @@
         Requests whose answers are not written yet, in order.
     is_ending
         Whether no further requests are read.
-    active_at
-        Time of the last sign that the client uses the connection.
-    unsent
-        Number of bytes of answers that were not sent at the last check.
+    activity
+        Last sign that the client uses the connection.
+    lingering
+        Closes the connection after its last answer.
+    body
+        Body of the request that is being read.
     """
 
     def __init__(self, server: 'HttpServer') -> None:
@@ -95,7 +106,7 @@
         self.slots: deque[Slot] = deque()
         self.target = b''
         self.headers: list[Header] = []
-        self.chunks: list[bytes] = []
+        self.body = RequestBody(server.budget)
         self.framing = Framing()
         self.head_size = 0
         self.has_head = False
@@ -103,24 +114,24 @@
         self.is_ending = False
         self.is_lost = False
         self.is_paused = False
-        self.active_at: float = 0
-        self.unsent = 0
         self.host = ''
-        self.linger: Any = None
+        self.activity = Activity(server.reactor)
+        self.lingering = LingeringClose(server.reactor, self.activity)
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection."""
         sockets.configure_socket(self.transport)
         self.host = self.transport.getPeer().host
-        self.active_at = self.server.reactor.seconds()
+        self.activity.seen()
         self.server.connections.add(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse requests."""
         if self.is_ending:
+            self.lingering.received(len(data), self.server.limits.body_bytes)
             return
         if not self.is_reading:
-            self.active_at = self.server.reactor.seconds()
+            self.activity.seen()
             self.is_reading = True
         if not self.has_head:
             self.head_size += len(data)
@@ -139,22 +150,20 @@
         self.is_lost = True
         self.is_ending = True
         self.server.connections.discard(self)
-        if self.linger is not None and self.linger.active():
-            self.linger.cancel()
+        self.lingering.cancel()
         self.parser = None
-        self.chunks = []
+        self.body.drop()
         slots = tuple(self.slots)
         self.slots.clear()
         for slot in slots:
             if slot.answer is None and slot.abandon is not None:
                 slot.abandon()
-            slot.abandon = None
+            slot.end()
 
     def on_message_begin(self) -> None:
         """Start a request."""
         self.target = b''
         self.headers = []
-        self.chunks = []
         self.framing = Framing()
         self.has_head = False
 
@@ -168,18 +177,27 @@
             self.headers.append((name, text))
 
     def on_headers_complete(self) -> None:
-        """Answer ``Expect: 100-continue`` so that the client sends its body."""
+        """Reserve memory for the body, and ask for it if the client waits."""
         self.has_head = True
         self.head_size = 0
+        if self.is_ending:
+            return
+        size = stated_length(self.headers, self.server.limits.body_bytes)
+        if not self.body.reserve(size):
+            self._refuse_body(size)
+            return
         for name, text in self.headers:
             if name.lower() == b'expect' and text.lower() == b'100-continue':
                 self.transport.write(_CONTINUE)
 
     def on_body(self, chunk: bytes) -> None:
-        """Store a part of the body, within the size limit."""
+        """Store a part of the body, within the limits."""
         self.framing.body_bytes += len(chunk)
-        if self.framing.body_bytes <= self.server.limits.body_bytes:
-            self.chunks.append(chunk)
+        size = self.framing.body_bytes
+        if self.is_ending or size > self.server.limits.body_bytes:
+            return
+        if not self.body.add(chunk):
+            self._refuse_body(size)
 
     def on_message_complete(self) -> None:
         """Serve a complete request."""
@@ -201,9 +219,10 @@
             method,
             self.target,
             end_to_end(self.headers),
-            b''.join(self.chunks),
+            self.body.take(),
         )
-        self.chunks = []
+        slot.reservation = self.body.reservation
+        self.body = RequestBody(self.server.budget)
         self._serve(slot, request)
 
     def close_if_idle(self) -> None:
@@ -211,28 +230,30 @@
         if not self.slots and not self.is_reading:
             self._end()
 
-    def check_idle(self, now: float) -> None:
+    def check_idle(self) -> None:
         """Close the connection if it is idle or its headers are too slow.
 
         A client that takes no bytes of its answer for as long is gone.
         """
         limits = self.server.limits
-        self._check_sent(now)
-        if self.unsent:
-            if now - self.active_at > limits.idle_timeout_s:
+        self.activity.check_sent(self.transport)
+        idle_s = self.activity.idle_s
+        if self.activity.unsent:
+            if idle_s > limits.idle_timeout_s:
                 self.transport.abortConnection()
             return
         if self.slots or self.is_ending:
             return
         if self.is_reading and not self.has_head:
-            if now - self.active_at > limits.header_timeout_s:
+            if idle_s > limits.header_timeout_s:
                 self._reject(HTTPStatus.REQUEST_TIMEOUT)
-        elif now - self.active_at > limits.idle_timeout_s:
+        elif idle_s > limits.idle_timeout_s:
             self._end()
 
     def _serve(self, slot: Slot, request: HttpRequest) -> None:
         def respond(answer: HttpAnswer) -> None:  # noqa: WPS430
             slot.answer = answer
+            slot.end()
             self._flush()
 
         abandon: Abandon | None = None
@@ -253,7 +274,6 @@
         """Write the answers that are next in the order of the requests."""
         while self.slots and self.slots[0].answer is not None:
             slot = self.slots.popleft()
-            slot.abandon = None
             if self.is_lost:
                 continue
             is_last = not self.slots and not self.is_reading
@@ -265,7 +285,7 @@
                     is_head=slot.is_head,
                 ),
             )
-            self.active_at = self.server.reactor.seconds()
+            self.activity.seen()
             if closes:
                 self._end()
         if self.is_paused and len(self.slots) < MAX_PIPELINED:
@@ -292,40 +312,33 @@
             self.server.log('bad_request', reason=str(error))
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
+    def _refuse_body(self, size: int) -> None:
+        """Refuse the request whose body exceeds the budget at a size."""
+        head = HttpRequest(
+            self.parser.get_method(),
+            self.target,
+            end_to_end(self.headers),
+            b'',
+        )
+        self._end_with(self.server.refuse_body(head, size))
+
     def _reject(self, status: HTTPStatus) -> None:
         """Answer an invalid request with an error and close the connection."""
+        self._end_with(HttpAnswer(status))
+
+    def _end_with(self, answer: HttpAnswer) -> None:
+        """Read no further requests, and close the connection after an answer."""
         self.is_ending = True
+        self.body.drop()
         slot = Slot(is_head=False, closes=True)
-        slot.answer = HttpAnswer(status)
+        slot.answer = answer
         self.slots.append(slot)
         self._flush()
 
     def _end(self) -> None:
         self.is_ending = True
-        if self.is_lost or self.linger is not None:
-            return
-        self.active_at = self.server.reactor.seconds()
-        self.transport.loseWriteConnection()
-        self._linger()
-
-    def _linger(self) -> None:
-        """Close the connection some time after its last answer was sent.
-
-        What the system has taken by then is still sent.
-        """
-        now = self.server.reactor.seconds()
-        self._check_sent(now)
-        if self.unsent or now - self.active_at < LINGER_S:
-            self.linger = self.server.reactor.callLater(LINGER_S, self._linger)
-        else:
-            self.transport.loseConnection()
-
-    def _check_sent(self, now: float) -> None:
-        """Count sent bytes as activity."""
-        unsent = sockets.unsent_bytes(self.transport)
-        if unsent != self.unsent:
-            self.unsent = unsent
-            self.active_at = now
+        if not self.is_lost:
+            self.lingering.start(self.transport)
 
 
 class HttpServer(Factory):
@@ -335,6 +348,11 @@
     ----------
     is_closing
         Whether connections are closed after their last pending answer.
+    budget
+        Limits the bodies of all requests that are not answered yet.
+    refuse_body
+        Builds the answer to a request, given without its body, whose body
+        exceeds the budget at a size in bytes.
     """
 
     noisy = False
@@ -349,6 +367,8 @@
         self.service = service
         self.log = log
         self.limits = ClientLimits()
+        self.budget = MemoryBudget()
+        self.refuse_body: RefuseBody = _unavailable
         self.connections: set[ServerConnection] = set()
         self.is_closing = False
         self.idle_check = PeriodicTask(
@@ -375,6 +395,9 @@
             connection.close_if_idle()
 
     def _check_idle(self) -> None:
-        now = self.reactor.seconds()
         for connection in tuple(self.connections):
-            connection.check_idle(now)
+            connection.check_idle()
+
+
+def _unavailable(request: HttpRequest, size: int) -> HttpAnswer:
+    return HttpAnswer(HTTPStatus.SERVICE_UNAVAILABLE, is_own=True)
--- a/packages/gateway/bilberryrail/gateway/http_server_test.py
+++ b/packages/gateway/bilberryrail/gateway/http_server_test.py
@@ -9,7 +9,8 @@
 from twisted.internet.testing import StringTransport
 
 from bilberryrail.forwarding.records import ClientLimits, HttpAnswer
-from bilberryrail.gateway.http_server import LINGER_S, HttpServer
+from bilberryrail.gateway.activity import LINGER_S
+from bilberryrail.gateway.http_server import HttpServer
 
 
 def ignore(*_, **fields):
--- a/packages/gateway/bilberryrail/gateway/http_text.py
+++ b/packages/gateway/bilberryrail/gateway/http_text.py
@@ -49,11 +49,21 @@
     body: bytes,
 ) -> bytes:
     """Format a request."""
+    return request_head(method, target, headers, len(body)) + body
+
+
+def request_head(
+    method: bytes,
+    target: bytes,
+    headers: tuple[Header, ...],
+    body_bytes: int,
+) -> bytes:
+    """Format all of a request but its body."""
     lines = [b'%b %b HTTP/1.1' % (method, target)]
     lines += [b'%b: %b' % header for header in headers]
-    if body or method in {b'POST', b'PUT', b'PATCH'}:
-        lines.append(b'Content-Length: %d' % len(body))
-    return b'\r\n'.join([*lines, b'', body])
+    if body_bytes or method in {b'POST', b'PUT', b'PATCH'}:
+        lines.append(b'Content-Length: %d' % body_bytes)
+    return b'\r\n'.join([*lines, b'', b''])
 
 
 def answer_bytes(
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -1,26 +1,34 @@
 """One connection to another node."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import Any, Final
 from typing import Protocol as Interface
 
+from msgspec import structs
 from twisted.protocols.basic import Int32StringReceiver
 
-from bilberryrail.core.ids import NodeId
+from bilberryrail.core.ids import AttemptId, NodeId, Seconds
 from bilberryrail.forwarding import messages
-from bilberryrail.forwarding.records import Peer
+from bilberryrail.forwarding.records import Peer, Refusal
 from bilberryrail.gateway import sockets
+from bilberryrail.gateway.body_parts import (
+    MAX_WHOLE_BYTES,
+    IncomingBodies,
+    OutgoingBodies,
+)
 from bilberryrail.gateway.compression import (
     CompressionError,
     Compressor,
     Decompressor,
 )
+from bilberryrail.gateway.memory_budget import MemoryBudget
 from bilberryrail.gateway.tasks import guard
 from bilberryrail.gateway.traffic import Place, Traffic
 
-#: Largest message after Hello, in bytes; it holds the largest body that clients
-#: may send, and its headers.
+#: Largest message after Hello, in bytes; it holds the largest body of an answer,
+#: and its headers.
 MAX_MESSAGE_BYTES: Final = 100_663_296
 
 #: Largest Hello, in bytes. It is the only message that is read from a peer that
@@ -45,6 +53,9 @@
 #: seconds. TCP retransmits lost packets within about a second.
 LOST_AFTER_S: Final = 1.5
 
+#: Retry time in refusals of bodies for which there is no memory, in seconds.
+BODY_RETRY_S: Final = 0.5
+
 
 class LinkEvents(Interface):
     """Receiver of the events of links."""
@@ -91,6 +102,7 @@
     events: LinkEvents | None
     log: Callable[..., None]
     traffic: Traffic
+    budget: MemoryBudget
 
     def link_established(self, link: 'Link') -> None:
         """Register a link after the exchange of Hello."""
@@ -119,6 +131,8 @@
         Number of bytes that were not sent at the last check.
     compressor
         Compresses sent messages; None if they are sent uncompressed.
+    accepts_body_parts
+        Whether the peer accepts bodies of requests in parts.
     """
 
     def __init__(self, links: 'LinkOwner', expected: NodeId | None) -> None:
@@ -136,6 +150,9 @@
         self.forwarded_at: float = 0
         self.compressor: Compressor | None = None
         self.decompressor = Decompressor()
+        self.accepts_body_parts = False
+        self.outgoing_bodies = OutgoingBodies(self._send_part)
+        self.incoming_bodies = IncomingBodies(links.budget, self._refuse_body)
         self.timer: Any = None
 
     @property
@@ -156,18 +173,25 @@
             self.send(self.links.events.make_hello(self.expected))
 
     def send(self, message: messages.Message) -> None:
-        """Encode a message, compress it if agreed, and write it."""
-        if isinstance(message, messages.Forward):
-            if not self.pending:
-                self.received_at = self.links.reactor.seconds()
-            self.pending[message.attempt] = message.idempotent
-        elif isinstance(message, messages.Cancel):
-            self.pending.pop(message.attempt, None)
-        payload = messages.encode(message)
-        if self.compressor is not None:
-            payload = self.compressor.compress(payload)
-        self.links.traffic.sent(self.peer, type(message).__name__, len(payload))
-        self.sendString(payload)
+        """Send a message; a large body of a request follows in parts."""
+        match message:
+            case messages.Forward():
+                self._forward(message)
+                return
+            case messages.Cancel(attempt=attempt):
+                self._outcome_known(attempt)
+            case (
+                messages.Answered(attempt=attempt)
+                | messages.Refused(attempt=attempt)
+                | messages.Failed(attempt=attempt)
+            ):
+                self.incoming_bodies.release(attempt)
+        self._write(message)
+
+    def close(self) -> None:
+        """Close the link after what has been written is sent."""
+        self.outgoing_bodies.clear()
+        self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read a part of a message; a large one may take seconds to arrive."""
@@ -190,18 +214,10 @@
             self.links.log('link_without_hello', expected=self.expected)
             self.transport.loseConnection()
             return
-        if isinstance(
-            message,
-            messages.Answered | messages.Refused | messages.Failed,
-        ):
-            self.pending.pop(message.attempt, None)
-        elif isinstance(message, messages.Forward):
-            self.forwarded_at = self.received_at
-        # A message whose handler fails must not end the link, and with it all
-        # the requests that are in flight there.
-        guard(
-            partial(self.links.events.received, self, message), self.links.log
-        )
+        now = Seconds(self.received_at)
+        complete = self.incoming_bodies.receive(message, now)
+        if complete is not None:
+            self._received(complete)
 
     def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
         """Close the link because the peer announced too long a message."""
@@ -213,6 +229,8 @@
         if self.timer.active():
             self.timer.cancel()
         self.is_up = False
+        self.outgoing_bodies.clear()
+        self.incoming_bodies.clear()
         self.links.link_ended(self, reason.getErrorMessage())
 
     def check_silence(self, now: float) -> None:
@@ -245,6 +263,65 @@
         if silence_s > PING_AFTER_S and now - self.pinged_at > PING_AFTER_S:
             self._ping(now)
 
+    def _refuse_body(self, message: messages.Forward) -> None:
+        self.links.log(
+            'body_refuse',
+            request=message.request_id,
+            size=message.body_bytes,
+            peer=self.peer.node,
+        )
+        self.send(
+            messages.Refused(
+                message.attempt, Refusal.BUSY, BODY_RETRY_S, load=None
+            )
+        )
+
+    def _forward(self, message: messages.Forward) -> None:
+        if not self.pending:
+            self.received_at = self.links.reactor.seconds()
+        self.pending[message.attempt] = message.idempotent
+        size = len(message.request.body)
+        if size <= MAX_WHOLE_BYTES or not self.accepts_body_parts:
+            self._write(message)
+            return
+        head = replace(message.request, body=b'')
+        self._write(structs.replace(message, request=head, body_bytes=size))
+        self.outgoing_bodies.add(message, self.transport)
+
+    def _send_part(self, part: messages.BodyPart) -> None:
+        # The peer has taken the part before.
+        self.received_at = self.links.reactor.seconds()
+        self._write(part)
+
+    def _outcome_known(self, attempt: AttemptId) -> None:
+        """Expect no outcome of an attempt any more."""
+        self.pending.pop(attempt, None)
+        self.outgoing_bodies.drop(attempt)
+
+    def _write(self, message: messages.Message) -> None:
+        """Encode a message, compress it if agreed, and write it."""
+        payload = messages.encode(message)
+        if self.compressor is not None:
+            payload = self.compressor.compress(payload)
+        self.links.traffic.sent(self.peer, type(message).__name__, len(payload))
+        self.sendString(payload)
+
+    def _received(self, message: messages.Message) -> None:
+        match message:
+            case (
+                messages.Answered(attempt=attempt)
+                | messages.Refused(attempt=attempt)
+                | messages.Failed(attempt=attempt)
+            ):
+                self._outcome_known(attempt)
+            case messages.Forward():
+                self.forwarded_at = self.received_at
+        # A message whose handler fails must not end the link, and with it all
+        # the requests that are in flight there.
+        guard(
+            partial(self.links.events.received, self, message), self.links.log
+        )
+
     def _ping(self, now: float) -> None:
         self.pinged_at = now
         self.send(messages.Ping())
@@ -266,6 +343,7 @@
         if not self.is_outgoing:
             self.send(self.links.events.make_hello(hello.peer.node))
         self._enable_compression(hello)
+        self.accepts_body_parts = hello.accepts_body_parts
         self.is_up = True
         if self.is_outgoing:
             self._report_round_trip()
--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -16,6 +16,7 @@
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.records import Peer
 from bilberryrail.gateway.link import Link, LinkEvents
+from bilberryrail.gateway.memory_budget import MemoryBudget
 from bilberryrail.gateway.sockets import (
     SingleConnectionFactory,
     unsent_bytes,
@@ -108,11 +109,13 @@
         region: RegionId,
         log: Callable[..., None],
         traffic: Traffic,
+        budget: MemoryBudget,
     ) -> None:
         self.reactor = reactor
         self.node = node
         self.region = region
         self.traffic = traffic
+        self.budget = budget
         self.persistent: frozenset[NodeId] = frozenset()
         self.is_full_mesh = True
         self.events: LinkEvents | None = None
@@ -205,10 +208,10 @@
         self.is_closed = True
         self.silence_check.stop()
         for link in tuple(self.incoming.values()):
-            link.transport.loseConnection()
+            link.close()
         for outgoing in self.outgoing.values():
             if outgoing.link is not None:
-                outgoing.link.transport.loseConnection()
+                outgoing.link.close()
 
     def link_established(self, link: Link) -> None:
         """Register a link after the exchange of Hello.
@@ -227,7 +230,7 @@
             return
         outgoing = self.outgoing.get(node)
         if outgoing is None:
-            link.transport.loseConnection()
+            link.close()
             return
         outgoing.link = link
         outgoing.is_dialing = False
@@ -328,7 +331,7 @@
         self._return_queued(node, outgoing)
         if outgoing.link is not None:
             self.events.closed(outgoing.link)
-            outgoing.link.transport.loseConnection()
+            outgoing.link.close()
 
     def _check_links(self) -> None:
         now = self.reactor.seconds()
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -21,6 +21,7 @@
     Link,
 )
 from bilberryrail.gateway.links import Links
+from bilberryrail.gateway.memory_budget import MemoryBudget
 from bilberryrail.gateway.metrics import Metrics
 from bilberryrail.gateway.traffic import Traffic
 
@@ -87,6 +88,7 @@
             RegionId('home'),
             ignore,
             Traffic(self.reactor, lambda: peer('n1'), Metrics(), ignore),
+            MemoryBudget(),
         )
         self.links.events = self.events
 
--- a/packages/gateway/bilberryrail/gateway/message_router.py
+++ b/packages/gateway/bilberryrail/gateway/message_router.py
@@ -108,6 +108,7 @@
             accepts_compression=True,
             known=self.presence.candidates.runs.by_node.get(expected),
             crashes=self.ports.target.quarantine.ledger.evidence(),
+            accepts_body_parts=True,
         )
 
     def received(self, link: Link, message: messages.Message) -> None:
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -34,6 +34,7 @@
 from bilberryrail.gateway.health_checker import HealthChecker
 from bilberryrail.gateway.http_server import HttpServer
 from bilberryrail.gateway.links import Links
+from bilberryrail.gateway.memory_budget import MemoryBudget
 from bilberryrail.gateway.message_router import LinkEventHandler, RolePorts
 from bilberryrail.gateway.metrics import Metrics, MetricsService
 from bilberryrail.gateway.presence import (
@@ -88,6 +89,7 @@
         self.watch.on_changed = self._settings_changed
         self.random = Random(SystemRandom().getrandbits(_SEED_BITS))
         self.metrics = Metrics()
+        self.budget = MemoryBudget(settings.max_body_memory_bytes)
         self.operators = OperatorState()
         self.unconfirmed_zones = UnconfirmedZones(
             reactor, self.operators, log.process
@@ -207,6 +209,7 @@
             settings.region,
             self.log.process,
             self.traffic,
+            self.budget,
         )
         self.ports.links = self.links
         self.presence = Presence(
@@ -282,6 +285,8 @@
         self.client_server = HttpServer(
             self.reactor, self.frontend, self.log.process
         )
+        self.client_server.budget = self.budget
+        self.client_server.refuse_body = self.frontend.body_refusal
         self.health = HealthChecker(
             self.reactor,
             self.dialect,
--- /dev/null
+++ b/packages/gateway/bilberryrail/gateway/request_body.py
@@ -0,0 +1,61 @@
+"""Reads the body of a request, within the limits on its size and memory."""
+
+from typing import Final
+
+from bilberryrail.forwarding.records import Header, find_header
+from bilberryrail.gateway.memory_budget import MemoryBudget, Reservation
+
+_LENGTH: Final = b'content-length'
+
+
+class RequestBody:
+    """The body of a request that is being read.
+
+    Attributes
+    ----------
+    reservation
+        Memory of the body, from its stated length on.
+    """
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self.reservation = Reservation(budget)
+        self.chunks: list[bytes] = []
+        self.size = 0
+
+    def reserve(self, size: int) -> bool:
+        """Reserve memory for a size; return whether there is enough."""
+        if size <= self.reservation.size:
+            return True
+        return self.reservation.resize(size)
+
+    def add(self, chunk: bytes) -> bool:
+        """Add a part; return whether there is memory for it."""
+        self.size += len(chunk)
+        has_memory = self.reserve(self.size)
+        if has_memory:
+            self.chunks.append(chunk)
+        return has_memory
+
+    def take(self) -> bytes:
+        """Return the complete body, whose memory stays reserved."""
+        body = b''.join(self.chunks)
+        self.chunks = []
+        return body
+
+    def drop(self) -> None:
+        """Release the memory of a body that is not needed."""
+        self.chunks = []
+        self.reservation.release()
+
+
+def stated_length(headers: list[Header], limit: int) -> int:
+    """Return the stated length of a body, in bytes, or the limit if it is less.
+
+    It is zero if the body has no stated length.
+    """
+    stated = find_header(headers, _LENGTH) or b''
+    if not stated.isdigit():
+        return 0
+    if len(stated) > len(str(limit)):
+        return limit
+    return min(int(stated), limit)
--- a/packages/gateway/bilberryrail/gateway/settings.py
+++ b/packages/gateway/bilberryrail/gateway/settings.py
@@ -14,6 +14,7 @@
     ServiceId,
 )
 from bilberryrail.forwarding.settings import ForwardingSettings
+from bilberryrail.gateway.memory_budget import MAX_LARGE_BYTES
 
 #: An IPv4 address and a port, as ``10.1.0.8:8300``.
 _AddressText = Annotated[
@@ -84,6 +85,9 @@
         Service and address of the node's backend server.
     store
         Address of the platform's store.
+    max_body_memory_bytes
+        Limit on the bodies of large requests that are held together, in bytes.
+        A larger body is never accepted, even if the operators allow it.
     """
 
     forwarding: ForwardingSettings
@@ -92,6 +96,7 @@
     backend: _AddressText
     store: _AddressText
     lifecycle: LifecycleSettings = LifecycleSettings()
+    max_body_memory_bytes: Annotated[int, msgspec.Meta(ge=0)] = MAX_LARGE_BYTES
 
     @property
     def node(self) -> NodeId:
