Spread the ends of the readers' long polls over time

Cause: a change ends the polls of all readers at once, so their next ones run out together as well, up to 13.5 s later. TCP probes are still acknowledged on such connections, and no reader notices anything before the others do.

Change: PollSchedule gives each reader another first wait after a change, by its place among the readers, so that some poll ends each second. The reader whose call times out reads over a new connection and tells the others. Fleets of 12 readers or more make as many calls as before.

--- a/packages/forwarding/bilberryrail/forwarding/readers.py
+++ b/packages/forwarding/bilberryrail/forwarding/readers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Final
 
-from bilberryrail.core.ids import NodeId
+from bilberryrail.core.ids import AvailabilityZoneId, NodeId
 from bilberryrail.forwarding.records import Peer
 
 #: Nodes of an availability zone that read the store. There are two, because one
@@ -31,6 +31,18 @@
     return len(in_zone) + 1 >= MIN_NODES_FOR_READERS
 
 
+def expected_readers(peers: Iterable[Peer]) -> list[NodeId]:
+    """Return the nodes that read the store if all links are open, by name."""
+    by_zone: dict[AvailabilityZoneId, list[NodeId]] = {}
+    for peer in peers:
+        by_zone.setdefault(peer.zone, []).append(peer.node)
+    readers: list[NodeId] = []
+    for nodes in by_zone.values():
+        selects = len(nodes) >= MIN_NODES_FOR_READERS
+        readers += sorted(nodes)[:READERS_PER_ZONE] if selects else nodes
+    return sorted(readers)
+
+
 def is_reader(
     own: Peer,
     others: Iterable[Peer],
--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -10,6 +10,7 @@
 from bilberryrail.forwarding.operators import OperatorState
 from bilberryrail.forwarding.records import StorePosition
 from bilberryrail.gateway.backoff import Backoff, jittered
+from bilberryrail.gateway.poll_schedule import PollSchedule
 from bilberryrail.gateway.store import (
     OperatorRecords,
     Store,
@@ -19,10 +20,6 @@
 from bilberryrail.gateway.store_health import StoreHealth
 from bilberryrail.gateway.tasks import Supervisor
 
-#: Longest wait for new records in one call, in seconds. It is long because each
-#: call is paid for; keep-alive probes detect a silent connection much sooner.
-POLL_WAIT_S: Final = 12.0
-
 #: First and longest pause after a failed read, in seconds. The longest one is
 #: short enough that a node is up to date within 2.5 s after the return of the
 #: store.
@@ -45,6 +42,8 @@
 
     Attributes
     ----------
+    has_changed
+        Whether the last read of the store found something.
     on_operators
         Called after the operators' state has changed.
     """
@@ -56,6 +55,7 @@
         store: Store,
         operators: OperatorState,
         health: StoreHealth,
+        polls: PollSchedule,
         must_read: Callable[[], bool],
     ) -> None:
         self.reactor = reactor
@@ -64,6 +64,8 @@
         self.operators = operators
         self.health = health
         self.log = health.log
+        self.polls = polls
+        self.has_changed = True
         self.must_read = must_read
         self.task = Supervisor(reactor, self._follow, health.log)
         self.on_operators: Callable[[], None] = _ignore
@@ -100,6 +102,7 @@
 
     async def _read_state(self) -> None:
         snapshot = await self.store.operator_state()
+        self.has_changed = True
         self.health.answered('operator-state', snapshot.era)
         self._log_state(snapshot)
         known_era = self.operators.position.era
@@ -119,8 +122,11 @@
         position = self.operators.position
         # After a failed call the store may be in another era. A read that waits
         # for new records would not show this until the next change.
-        wait_s = POLL_WAIT_S if self.health.is_reachable else 0
+        wait_s: float = 0
+        if self.health.is_reachable:
+            wait_s = self.polls.wait_s(is_first=self.has_changed)
         found = await self.store.operator_records(position.offset, wait_s)
+        self.has_changed = bool(found.records)
         self.health.answered('operator-records', found.era)
         self._log_records(found, position)
         if not found.era == position.era == self.operators.position.era:
--- a/packages/gateway/bilberryrail/gateway/follower_test.py
+++ b/packages/gateway/bilberryrail/gateway/follower_test.py
@@ -15,6 +15,7 @@
 from bilberryrail.gateway.announcer import MEMBERS_INTERVAL_S, Announcer
 from bilberryrail.gateway.follower import StoreFollower
 from bilberryrail.gateway.metrics import Metrics
+from bilberryrail.gateway.poll_schedule import PollSchedule
 from bilberryrail.gateway.store import OperatorRecords
 from bilberryrail.gateway.store_health import StoreHealth
 
@@ -25,6 +26,7 @@
     def __init__(self):
         self.calls = []
         self.waiting = None
+        self.wait_s = 0
         self.era = 0
         self.members = {'n2': peer('n2')}
 
@@ -34,6 +36,7 @@
 
     async def operator_records(self, offset, wait_s):
         self.calls.append(('records', offset))
+        self.wait_s = wait_s
         self.waiting = Deferred()
         return await self.waiting
 
@@ -67,6 +70,7 @@
             self.store,
             self.operators,
             self.health,
+            PollSchedule(Membership(peer('n1'))),
             lambda: self.must_read,
         )
         self.announcer = Announcer(
@@ -153,3 +157,19 @@
     bench.announcer.on_peers = found.extend
     bench.start()
     assert earlier in found
+
+
+def test_first_poll_after_a_change_has_a_wait_of_its_own(bench):
+    # Guards against readers whose polls all end together, so that none of them
+    # notices for 12 s that the connections to the store have fallen silent.
+    bench.must_read = True
+    membership = bench.follower.polls.membership
+    membership.merge([peer(f'n{number}') for number in range(2, 6)])
+    bench.start()
+    bench.run(1)
+    assert bench.store.wait_s == 1
+    bench.store.waiting.callback(OperatorRecords([], 4))
+    assert bench.store.wait_s == 5
+    record = ZoneRecord(4, 'west', is_out=True)
+    bench.store.waiting.callback(OperatorRecords([record], 5))
+    assert bench.store.wait_s == 1
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -37,6 +37,7 @@
 from bilberryrail.gateway.memory_budget import MemoryBudget
 from bilberryrail.gateway.message_router import LinkEventHandler, RolePorts
 from bilberryrail.gateway.metrics import Metrics, MetricsService
+from bilberryrail.gateway.poll_schedule import PollSchedule
 from bilberryrail.gateway.presence import (
     Presence,
     initial_announcement,
@@ -253,6 +254,7 @@
             store,
             self.operators,
             health,
+            PollSchedule(self.membership),
             self._must_read,
         )
         self.follower.on_operators = self._operators_changed
