Apply the departure in a heartbeat whose sequence number looks old

A heartbeat of another writer with a sequence number that is in range, but far too high, made all later ones of the run look old.

A run does not take its departure back, so that it counts also if it is late; a late departure of an earlier run with the same id is still ignored.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -85,17 +85,19 @@
         self._sent_at = Seconds(-math.inf)
 
     def heartbeat_received(self, heartbeat: Heartbeat, now: Seconds) -> bool:
-        """Apply a heartbeat; return whether it was newer than the known state.
+        """Apply a heartbeat; return whether it told something new.
 
         A delayed heartbeat of an earlier instance may arrive after another
-        instance has taken over the address; it is ignored.
+        instance has taken over the address; it is ignored. A departure counts
+        also if it is late, because a run does not take it back, and because a
+        malformed sequence number would make all later heartbeats look old.
         """
         if heartbeat.born_ms < self.born_ms:
             return False
         run = BackendRun(heartbeat.instance, heartbeat.born_ms)
         is_same = self.run is not None and run.is_same_as(self.run)
         if is_same and heartbeat.sequence <= self.sequence:
-            return False
+            return _apply_late_departure(self, heartbeat)
         if is_same:
             self.crashes.run_confirmed()
         else:
@@ -304,6 +306,17 @@
         self.errors = ErrorShare()
 
 
+def _apply_late_departure(backend: Backend, heartbeat: Heartbeat) -> bool:
+    """Apply a departure in a late heartbeat; return whether it is new."""
+    is_new = (
+        heartbeat.phase is BackendPhase.DRAINING
+        and backend.phase is not BackendPhase.DRAINING
+    )
+    if is_new:
+        backend.instance_left(heartbeat.instance)
+    return is_new
+
+
 def _stall_slowdown(backend: Backend, now: Seconds) -> float:
     """Return the slowdown shown by the oldest request in flight.
 
--- a/packages/forwarding/bilberryrail/forwarding/backend_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend_test.py
@@ -4,6 +4,7 @@
 
 from bilberryrail.core.ids import Seconds
 from bilberryrail.forwarding.backend import Backend
+from bilberryrail.forwarding.bounds import MAX_COUNT
 from bilberryrail.forwarding.fixtures_test import BOARD, RULES
 from bilberryrail.forwarding.load_report import (
     HealthResult,
@@ -58,6 +59,26 @@
     assert not backend.is_usable(NOW)
 
 
+def test_departure_counts_after_a_sequence_number_that_is_too_high(backend):
+    # Guards against a malformed heartbeat after which an acknowledged departure
+    # is ignored, so that requests still reach the leaving backend server.
+    backend.heartbeat_received(heartbeat(seq=MAX_COUNT), NOW)
+    departure = heartbeat(seq=3, phase=BackendPhase.DRAINING)
+    assert backend.heartbeat_received(departure, NOW)
+    assert not backend.is_usable(NOW)
+    assert not backend.heartbeat_received(heartbeat(seq=4), NOW)
+    assert not backend.is_usable(NOW)
+
+
+def test_late_departure_of_an_earlier_run_with_the_same_id_is_ignored(backend):
+    # Guards against a restarted backend server that is not used because of a
+    # delayed heartbeat of its earlier run.
+    backend.heartbeat_received(heartbeat(born=200, seq=0), NOW)
+    departure = heartbeat(seq=9, phase=BackendPhase.DRAINING)
+    assert not backend.heartbeat_received(departure, NOW)
+    assert backend.is_usable(NOW)
+
+
 def test_restart_under_the_same_id_is_accepted(backend):
     # Guards against ignoring a restarted backend server because its sequence
     # numbers start again.
