--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bilberryrail.core.errors import DECODE_ERRORS
 from bilberryrail.core.ids import AttemptId, AvailabilityZoneId, NodeId
 from bilberryrail.forwarding.bounds import Count, Duration, Number
 from bilberryrail.forwarding.records import (
@@ -254,9 +255,6 @@
     | BodyPart
 )
 
-#: A very deeply nested value makes the decoder raise ``RecursionError``.
-_DECODE_ERRORS: Final = (msgspec.MsgspecError, ValueError, RecursionError)
-
 _ENCODER: Final = msgspec.msgpack.Encoder()
 _DECODER: Final = msgspec.msgpack.Decoder(Message)
 _PEER_DECODER: Final = msgspec.msgpack.Decoder(Peer)
@@ -275,7 +273,7 @@
     """Decode a message; raise ``MessageError`` if it is not valid."""
     try:
         return _DECODER.decode(payload)
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         raise MessageError(str(error)) from error
 
 
@@ -288,5 +286,5 @@
     """Decode a node's announcement; raise ``MessageError`` if not valid."""
     try:
         return _PEER_DECODER.decode(payload)
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         raise MessageError(str(error)) from error
