Refuse requests on a route that has no service

A configuration in which all weights of a route are zero is decoded without an error. Each request on the route then failed with a ValueError and was answered 502, which does not tell the client that it has not run; the log had a traceback for each. It is refused with 503 now, and the log names the route (no_service).

Evidence: test_route_without_a_service_refuses_its_requests raises ValueError without the change.

--- a/packages/gateway/bilberryrail/gateway/frontend.py
+++ b/packages/gateway/bilberryrail/gateway/frontend.py
@@ -16,7 +16,8 @@
 from bilberryrail.gateway.http_server import Abandon, Respond
 from bilberryrail.gateway.link import BODY_RETRY_S
 
-#: Retry time stated to clients while no configuration is known, in seconds.
+#: Retry time stated to clients while no configuration is known, or while it has
+#: no service for a route, in seconds.
 NO_CONFIG_RETRY_S: Final = 0.3
 
 #: Retry time stated to clients while this process shuts down, in seconds. It is
@@ -112,6 +113,10 @@
             )
             self._refuse(request, HttpAnswer(_NOT_FOUND, is_own=True), respond)
             return None
+        if not route.parts:
+            self.log('no_service', route=route.route)
+            self._refuse_with_retry(request, NO_CONFIG_RETRY_S, respond)
+            return None
         exchange = self._make_exchange(request, route, respond)
         closing = self.closing
         if closing is not None and not closing.allows(exchange):
--- a/packages/gateway/bilberryrail/gateway/frontend_test.py
+++ b/packages/gateway/bilberryrail/gateway/frontend_test.py
@@ -138,3 +138,13 @@
     bench.frontend.serve(request(), '10.0.0.1', bench.answers.append)
     assert bench.answers[0].status == 503
     assert bench.answers[0].header(b'retry-after')
+
+
+def test_route_without_a_service_refuses_its_requests(bench):
+    # Guards against a configuration in which all weights of a route are zero:
+    # each request failed with an unexpected error.
+    empty = TrafficConfig(ConfigVersion(2), (route(parts=()),), {BOARD: RULES})
+    bench.frontend.operators.table = RouteTable(empty)
+    bench.frontend.serve(request(), '10.0.0.1', bench.answers.append)
+    assert [answer.status for answer in bench.answers] == [503]
+    assert not bench.accepted
