Read again over a new connection if a told change does not arrive

After the first silence three readers had noticed it and told the others a change; the other five kept waiting on their silent connections until their polls ran out, so that the ends of all polls were no longer spread evenly. At the second silence, 1.7 s passed until one ended, and the last node had the route 4.3 s after it.

A node that learns a change from a peer now ends its own read if that does not end within 0.5 s. It costs one call for each change that the store is late with.

--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Any, Final
 
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.task import deferLater
 
 from bilberryrail.forwarding.messages import OperatorSnapshot
@@ -26,6 +27,10 @@
 RETRY_S: Final = 0.25
 MAX_RETRY_S: Final = 1.0
 
+#: Time in which the store must tell a change that another node knows already, in
+#: seconds.
+TOLD_GRACE_S: Final = 0.5
+
 #: Interval at which a node that does not read checks whether it has to, in
 #: seconds.
 READER_CHECK_INTERVAL_S: Final = 0.2
@@ -44,6 +49,8 @@
     ----------
     has_changed
         Whether the last read of the store found something.
+    reading
+        The read of records in flight; None if there is none.
     on_operators
         Called after the operators' state has changed.
     """
@@ -66,6 +73,7 @@
         self.log = health.log
         self.polls = polls
         self.has_changed = True
+        self.reading: Deferred[OperatorRecords] | None = None
         self.must_read = must_read
         self.task = Supervisor(reactor, self._follow, health.log)
         self.on_operators: Callable[[], None] = _ignore
@@ -78,6 +86,14 @@
         """Make no further calls."""
         self.task.stop()
 
+    def peer_told(self) -> None:
+        """Check the connection to the store after a peer has told a change.
+
+        It carries nothing more if a read that waits for changes does not end.
+        """
+        if self.reading is not None:
+            self.reactor.callLater(TOLD_GRACE_S, self._end_read, self.reading)
+
     async def _follow(self) -> None:
         has_state = False
         backoff = Backoff(self.random, RETRY_S, MAX_RETRY_S)
@@ -125,7 +141,7 @@
         wait_s: float = 0
         if self.health.is_reachable:
             wait_s = self.polls.wait_s(is_first=self.has_changed)
-        found = await self.store.operator_records(position.offset, wait_s)
+        found = await self._read(position.offset, wait_s)
         self.has_changed = bool(found.records)
         self.health.answered('operator-records', found.era)
         self._log_records(found, position)
@@ -136,6 +152,22 @@
             self.on_operators()
         return True
 
+    async def _read(self, offset: int, wait_s: float) -> OperatorRecords:
+        reading = ensureDeferred(self.store.operator_records(offset, wait_s))
+        self.reading = reading
+        try:
+            return await reading
+        except CancelledError as error:
+            raise StoreError(
+                'a change that a peer has told is missing'
+            ) from error
+        finally:
+            self.reading = None
+
+    def _end_read(self, reading: 'Deferred[OperatorRecords]') -> None:
+        if reading is self.reading:
+            reading.cancel()
+
     def _log_state(self, snapshot: OperatorSnapshot) -> None:
         config = snapshot.config
         self.log(
--- a/packages/gateway/bilberryrail/gateway/follower_test.py
+++ b/packages/gateway/bilberryrail/gateway/follower_test.py
@@ -13,7 +13,11 @@
 from bilberryrail.forwarding.operators import OperatorState, ZoneRecord
 from bilberryrail.forwarding.records import BackendPhase, StorePosition
 from bilberryrail.gateway.announcer import MEMBERS_INTERVAL_S, Announcer
-from bilberryrail.gateway.follower import StoreFollower
+from bilberryrail.gateway.follower import (
+    RETRY_S,
+    TOLD_GRACE_S,
+    StoreFollower,
+)
 from bilberryrail.gateway.metrics import Metrics
 from bilberryrail.gateway.poll_schedule import PollSchedule
 from bilberryrail.gateway.store import OperatorRecords
@@ -173,3 +177,33 @@
     record = ZoneRecord(4, 'west', is_out=True)
     bench.store.waiting.callback(OperatorRecords([record], 5))
     assert bench.store.wait_s == 1
+
+
+def told_by_a_peer(bench):
+    """Let a node that waits for records learn a change from a peer."""
+    bench.must_read = True
+    bench.start()
+    bench.run(1)
+    bench.store.calls.clear()
+    bench.operators.apply(ZoneRecord(4, 'west', is_out=True))
+    bench.follower.peer_told()
+
+
+def test_read_that_misses_a_told_change_is_made_again(bench):
+    # Guards against a node that depends on others for up to 12 s because its
+    # connection to the store stays open and carries nothing more.
+    told_by_a_peer(bench)
+    bench.run(TOLD_GRACE_S + RETRY_S * 2)
+    assert bench.store.calls == [('records', 5)]
+    assert bench.store.wait_s == 0
+
+
+def test_read_that_ends_with_a_told_change_is_not_made_again(bench):
+    # Guards against needless calls of the store after each change.
+    told_by_a_peer(bench)
+    record = ZoneRecord(4, 'west', is_out=True)
+    bench.store.waiting.callback(OperatorRecords([record], 5))
+    bench.run(TOLD_GRACE_S + RETRY_S * 2)
+    assert bench.store.calls == [('records', 5)]
+    assert bench.store.wait_s > 0
+    assert bench.health.is_reachable
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -243,7 +243,7 @@
             self.operators,
             self.presence,
             self.gossip,
-            self._operators_changed,
+            self._operators_told,
         )
 
     def _build_store_tasks(self, store: Store) -> None:
@@ -341,6 +341,11 @@
             # instance can be identified now instead of with the next heartbeat.
             self.health.check_now()
 
+    def _operators_told(self) -> None:
+        """Apply a change of the operators' state that a peer has told."""
+        self._operators_changed()
+        self.follower.peer_told()
+
     def _notice_changed(
         self, notice: Notice, run: BackendRun, source: NoticeSource
     ) -> None:
