Reject names and lists from others that are too long to be passed on

Numbers from other writers had ranges, but names and lists had none. A heartbeat with a long service, while no configuration was known, made the announcement of its node larger than a record of the store may be, so that no append succeeded. A record with three crashes of many suspects got into the first message of every link, and a message of more than 64 KiB there closes the link.

Names have 255 characters at most now, a crash 64 suspects of 16 bytes, and an announcement and a Hello 64 crashes. What a node itself may send in a Hello exceeded the limit as well if all suspects had been answered (the old test left these out), so the limit is 128 KiB.

--- a/packages/forwarding/bilberryrail/forwarding/bounds.py
+++ b/packages/forwarding/bilberryrail/forwarding/bounds.py
@@ -1,8 +1,9 @@
-"""Bounds of the numbers that a node accepts from others.
+"""Bounds of the numbers, names and lists that a node accepts from others.
 
-A number beyond them cannot be passed on: MessagePack has no integers of more
-than 64 bits, and calculations with infinite durations fail. Decoders reject it,
-so that it does not stop the task that would use it much later.
+What exceeds them cannot be passed on: MessagePack has no integers of more than
+64 bits, calculations with infinite durations fail, and the size of a record in
+the store and of the first message of a link is limited. Decoders reject it, so
+that it does not stop the task that would use it much later.
 """
 
 from typing import Annotated, Final
@@ -30,6 +31,20 @@
 #: Largest weight of a service that shares a route.
 MAX_WEIGHT: Final = 1e9
 
+#: Longest name of a node, zone, region, service or instance, in characters.
+MAX_NAME: Final = 255
+
+#: Largest number of suspects of one crash. It is more than the requests that run
+#: at once; the most recent ones count if many were lost in a silent crash.
+MAX_SUSPECTS: Final = 64
+
+#: Largest number of crashes and of clearances in an announcement or in the first
+#: message of a link.
+MAX_CRASHES: Final = 64
+
+#: Longest fingerprint of a request, in bytes.
+MAX_FINGERPRINT: Final = 16
+
 _MAX_PORT: Final = 65535
 
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
--- a/packages/forwarding/bilberryrail/forwarding/crash_watch.py
+++ b/packages/forwarding/bilberryrail/forwarding/crash_watch.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from bilberryrail.core.ids import Seconds
+from bilberryrail.forwarding.bounds import MAX_SUSPECTS
 from bilberryrail.forwarding.records import (
     NO_FINGERPRINT,
     BackendRun,
@@ -25,10 +26,6 @@
 #: in seconds. Health checks are sent every 0.2 s.
 _SILENCE_S: Final = 1.0
 
-#: Largest number of suspects of one crash. It is more than the requests that run
-#: at once; the most recent ones count if many were lost in a silent crash.
-MAX_SUSPECTS: Final = 64
-
 OnCrashed = Callable[[BackendRun, tuple[Fingerprint, ...]], None]
 
 
--- a/packages/forwarding/bilberryrail/forwarding/malformed_messages_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/malformed_messages_test.py
@@ -1,6 +1,7 @@
 """Tests of messages and announcements that no node of this version sends."""
 
 import math
+from dataclasses import replace
 
 import msgspec
 import pytest
@@ -8,10 +9,22 @@
 from hypothesis import strategies as st
 
 from bilberryrail.forwarding import messages
-from bilberryrail.forwarding.bounds import MAX_COUNT
+from bilberryrail.forwarding.bounds import (
+    MAX_COUNT,
+    MAX_CRASHES,
+    MAX_NAME,
+    MAX_SUSPECTS,
+)
 from bilberryrail.forwarding.fixtures_test import forward, peer
 from bilberryrail.forwarding.membership import Membership
-from bilberryrail.forwarding.records import BackendLoad, Refusal
+from bilberryrail.forwarding.records import (
+    BackendLoad,
+    BackendRun,
+    CrashRecord,
+    Fingerprint,
+    InstanceId,
+    Refusal,
+)
 
 DEEP = b'\x91' * 100_000
 INVALID_NUMBERS = (
@@ -135,3 +148,28 @@
     )
     per_node = membership.version_sum / 200
     assert per_node * 19_000 < 2**63
+
+
+def crash(suspects=1, size=12):
+    found = (Fingerprint(bytes(size)),) * suspects
+    return CrashRecord(BackendRun(InstanceId('i1')), 1000, found)
+
+
+@pytest.mark.parametrize(
+    'announced',
+    [
+        replace(peer('n2'), service='s' * (MAX_NAME + 1)),
+        replace(peer('n2'), instance='i' * (MAX_NAME + 1)),
+        replace(peer('n2'), crashes=(crash(),) * (MAX_CRASHES + 1)),
+        replace(peer('n2'), crashes=(crash(suspects=MAX_SUSPECTS + 1),)),
+        replace(peer('n2'), crashes=(crash(size=1000),)),
+    ],
+)
+def test_announcement_that_is_too_large_is_rejected(announced):
+    # Guards against a record of another writer that makes the first message of
+    # all links too long, so that no node can open a link.
+    with pytest.raises(messages.MessageError):
+        messages.decode_peer(messages.encode_peer(announced))
+    hello = messages.Hello(peer('n2'), 'n1', crashes=announced.crashes)
+    assert rejected(messages.encode(messages.Announce(announced)))
+    assert rejected(messages.encode(hello)) is bool(announced.crashes)
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -14,7 +14,7 @@
     NO_FINGERPRINT,
     BackendLoad,
     ConfigVersion,
-    CrashRecord,
+    Crashes,
     Failure,
     Fingerprint,
     HttpAnswer,
@@ -52,7 +52,7 @@
     expected: NodeId
     accepts_compression: bool = False
     known: KnownRun | None = None
-    crashes: tuple[CrashRecord, ...] = ()
+    crashes: Crashes = ()
     accepts_body_parts: bool = False
 
 
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Final, NewType
+from typing import Annotated, Final, NewType
+
+from msgspec import Meta
 
 from bilberryrail.core.ids import (
     AvailabilityZoneId,
@@ -13,6 +15,10 @@
     ServiceId,
 )
 from bilberryrail.forwarding.bounds import (
+    MAX_CRASHES,
+    MAX_FINGERPRINT,
+    MAX_NAME,
+    MAX_SUSPECTS,
     Count,
     Credit,
     Duration,
@@ -33,6 +39,12 @@
 #: Identifies all requests with the same method, host, target, caller and body.
 Fingerprint = NewType('Fingerprint', bytes)
 
+_Name = Meta(max_length=MAX_NAME)
+_Suspects = Annotated[
+    tuple[Annotated[Fingerprint, Meta(max_length=MAX_FINGERPRINT)], ...],
+    Meta(max_length=MAX_SUSPECTS),
+]
+
 #: Fingerprint of a request whose sender has stated none. It is never recorded.
 NO_FINGERPRINT: Final = Fingerprint(b'')
 
@@ -154,7 +166,7 @@
         earlier run with the same id; zero if it is not known.
     """
 
-    instance: InstanceId
+    instance: Annotated[InstanceId, _Name]
     born_ms: UnixMs = 0
 
     def is_same_as(self, other: 'BackendRun') -> bool:
@@ -189,8 +201,8 @@
 
     run: BackendRun
     at_ms: UnixMs
-    suspects: tuple[Fingerprint, ...]
-    answered: tuple[Fingerprint, ...] = ()
+    suspects: _Suspects
+    answered: _Suspects = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,10 +215,14 @@
         Unix time of the answer, in milliseconds.
     """
 
-    fingerprint: Fingerprint
+    fingerprint: Annotated[Fingerprint, Meta(max_length=MAX_FINGERPRINT)]
     at_ms: UnixMs
 
 
+#: Crashes that one node tells another.
+Crashes = Annotated[tuple[CrashRecord, ...], Meta(max_length=MAX_CRASHES)]
+
+
 @dataclass(frozen=True, slots=True)
 class Peer:
     """A node, as it announces itself to the others.
@@ -232,22 +248,24 @@
         Recent answers to suspected requests of clients of the node.
     """
 
-    node: NodeId
+    node: Annotated[NodeId, _Name]
     incarnation: Incarnation
     started_ms: UnixMs
     serial: Count
-    host: str
+    host: Annotated[str, _Name]
     port: Port
-    zone: AvailabilityZoneId
-    region: RegionId
-    service: ServiceId
-    instance: InstanceId
+    zone: Annotated[AvailabilityZoneId, _Name]
+    region: Annotated[RegionId, _Name]
+    service: Annotated[ServiceId, _Name]
+    instance: Annotated[InstanceId, _Name]
     phase: BackendPhase
     leaving: bool = False
     born_ms: UnixMs = 0
     departed: bool = False
-    crashes: tuple[CrashRecord, ...] = ()
-    clearances: tuple[Clearance, ...] = ()
+    crashes: Crashes = ()
+    clearances: Annotated[
+        tuple[Clearance, ...], Meta(max_length=MAX_CRASHES)
+    ] = ()
 
     @property
     def run(self) -> BackendRun:
--- a/packages/gateway/bilberryrail/gateway/crash_reports_test.py
+++ b/packages/gateway/bilberryrail/gateway/crash_reports_test.py
@@ -7,8 +7,8 @@
 
 from bilberryrail.core.ids import NodeId
 from bilberryrail.forwarding.backend_test import heartbeat
+from bilberryrail.forwarding.bounds import MAX_FINGERPRINT, MAX_SUSPECTS
 from bilberryrail.forwarding.crash_ledger import MAX_EVIDENCE
-from bilberryrail.forwarding.crash_watch import MAX_SUSPECTS
 from bilberryrail.forwarding.fixtures_test import RULES, forward, peer
 from bilberryrail.forwarding.messages import Hello, decode, encode
 from bilberryrail.forwarding.records import (
@@ -134,10 +134,11 @@
 def test_largest_hello_can_be_read():
     # Guards against a link that cannot be opened after many crashes.
     suspects = tuple(
-        Fingerprint(bytes((number,)) * 12) for number in range(MAX_SUSPECTS)
+        Fingerprint(bytes((number,)) * MAX_FINGERPRINT)
+        for number in range(MAX_SUSPECTS)
     )
     crashes = tuple(
-        replace(crash(number), suspects=suspects)
+        replace(crash(number), suspects=suspects, answered=suspects)
         for number in range(MAX_ANNOUNCED)
     )
     hello = Hello(
@@ -147,6 +148,7 @@
     )
     assert len(hello.crashes) >= MAX_EVIDENCE
     assert len(encode(hello)) < MAX_HELLO_BYTES
+    assert decode(encode(hello)) == hello
 
 
 def test_request_of_an_earlier_version_is_never_quarantined(node):
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -32,8 +32,9 @@
 MAX_MESSAGE_BYTES: Final = 100_663_296
 
 #: Largest Hello, in bytes. It is the only message that is read from a peer that
-#: has not identified itself.
-MAX_HELLO_BYTES: Final = 65_536
+#: has not identified itself. With as many crashes as a node tells, each with as
+#: many suspects as it may have, it takes some 80 KB.
+MAX_HELLO_BYTES: Final = 131_072
 
 #: Timeout for the exchange of Hello, in seconds.
 HELLO_TIMEOUT_S: Final = 1.0
