Put large messages of a link together once

Twisted's receiver joins each part of a message with all parts before it. MessageReceiver collects the parts and joins them when the last one is there.

--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -7,7 +7,6 @@
 from typing import Protocol as Interface
 
 from msgspec import structs
-from twisted.protocols.basic import Int32StringReceiver
 
 from bilberryrail.core.ids import AttemptId, NodeId, Seconds
 from bilberryrail.forwarding import messages
@@ -24,6 +23,7 @@
     Decompressor,
 )
 from bilberryrail.gateway.memory_budget import MemoryBudget
+from bilberryrail.gateway.message_receiver import MessageReceiver
 from bilberryrail.gateway.tasks import guard
 from bilberryrail.gateway.traffic import Place, Traffic
 
@@ -112,7 +112,7 @@
         """Handle that a link has been closed."""
 
 
-class Link(Int32StringReceiver):
+class Link(MessageReceiver):
     """One connection to another node.
 
     Attributes
