Do not apply the limit on clients' bodies to answers

The configuration limits what clients may send. Answers have the limit on incomplete answers, 33 MB, alone.

--- a/packages/gateway/bilberryrail/gateway/backend_pool.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool.py
@@ -53,7 +53,8 @@
 #: Time after such a drop during which that limit applies, in seconds.
 CAUTION_PERIOD_S: Final = 15.0
 
-#: Maximum size of all incomplete answers together, in bytes. The smallest hosts
+#: Maximum size of all incomplete answers together, and of one, in bytes. The
+#: limits of the configuration are for what clients send. The smallest hosts
 #: have 200 MB of memory, and an answer is copied up to four times on its way.
 MAX_BUFFERED_BYTES: Final = 33_554_432
 
@@ -233,7 +234,7 @@
         dialect: Dialect,
         address: Address,
         log: Callable[..., None],
-        max_body_bytes: int,
+        max_body_bytes: int = MAX_BUFFERED_BYTES,
     ) -> None:
         self.reactor = reactor
         self.dialect = dialect
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -12,11 +12,7 @@
 from bilberryrail.forwarding.membership import Membership
 from bilberryrail.forwarding.operators import OperatorState
 from bilberryrail.forwarding.quarantine import Quarantine
-from bilberryrail.forwarding.records import (
-    BackendRun,
-    ClientLimits,
-    Fingerprint,
-)
+from bilberryrail.forwarding.records import BackendRun, Fingerprint
 from bilberryrail.forwarding.routes import SplitChooser
 from bilberryrail.forwarding.selection import CandidateTable
 from bilberryrail.forwarding.target import Target
@@ -166,7 +162,6 @@
             self.dialect,
             parse_address(settings.backend),
             self.log.process,
-            ClientLimits().body_bytes,
         )
         self.ports = RolePorts(settings.node, self.pool)
         self.quarantine = Quarantine(
@@ -324,7 +319,6 @@
         if config is not None:
             self.metrics.config_adopted(config.version)
             self.client_server.limits = config.limits
-            self.pool.max_body_bytes = config.limits.body_bytes
         self.log.process(
             'operators',
             era=self.operators.position.era,
--- a/packages/gateway/bilberryrail/gateway/process_test.py
+++ b/packages/gateway/bilberryrail/gateway/process_test.py
@@ -13,8 +13,15 @@
     forward,
 )
 from bilberryrail.forwarding.load_report import Notice, NoticeSource
-from bilberryrail.forwarding.records import BackendPhase
+from bilberryrail.forwarding.messages import OperatorSnapshot
+from bilberryrail.forwarding.records import (
+    BackendPhase,
+    ClientLimits,
+    ConfigVersion,
+    TrafficConfig,
+)
 from bilberryrail.forwarding.work_queue import Origin, Work
+from bilberryrail.gateway.backend_pool import MAX_BUFFERED_BYTES
 from bilberryrail.gateway.backend_pool_test import FakeDialect, FakeReactor
 from bilberryrail.gateway.http_server_test import ignore
 from bilberryrail.gateway.process import GatewayProcess
@@ -65,3 +72,14 @@
     )
     assert process.membership.own.phase is BackendPhase.DRAINING
     assert stored == ['stored']
+
+
+def test_limits_for_clients_do_not_apply_to_answers(process):
+    # Guards against answers that are rejected because operators limit what
+    # clients may send.
+    limits = ClientLimits(body_bytes=100)
+    config = TrafficConfig(ConfigVersion(1), (), {BOARD: RULES}, limits)
+    process.operators.replace(OperatorSnapshot(1, config, ()))
+    process.links.events.on_operators()
+    assert process.client_server.limits.body_bytes == 100
+    assert process.pool.max_body_bytes == MAX_BUFFERED_BYTES
