--- a/packages/gateway/bilberryrail/gateway/follower_test.py
+++ b/packages/gateway/bilberryrail/gateway/follower_test.py
@@ -20,7 +20,7 @@
 )
 from bilberryrail.gateway.metrics import Metrics
 from bilberryrail.gateway.poll_schedule import PollSchedule
-from bilberryrail.gateway.store import OperatorRecords
+from bilberryrail.gateway.store import OperatorRecords, StoreError
 from bilberryrail.gateway.store_health import StoreHealth
 
 
@@ -172,6 +172,7 @@
     bench.start()
     bench.run(1)
     assert bench.store.wait_s == 1
+    bench.run(1)
     bench.store.waiting.callback(OperatorRecords([], 4))
     assert bench.store.wait_s == 5
     record = ZoneRecord(4, 'west', is_out=True)
@@ -198,6 +199,33 @@
     assert bench.store.wait_s == 0
 
 
+def test_readers_that_were_told_a_change_do_not_poll_in_step(bench):
+    # Guards against a second silence that no reader notices for seconds: after
+    # the first one, all readers read again at the same time.
+    bench.follower.polls.membership.merge(
+        [peer(f'n{number}') for number in range(2, 6)]
+    )
+    told_by_a_peer(bench)
+    bench.run(TOLD_GRACE_S + RETRY_S * 2)
+    bench.store.waiting.callback(OperatorRecords([], 5))
+    assert bench.store.wait_s == 1
+
+
+def test_read_that_timed_out_keeps_its_place_among_the_readers(bench):
+    # Guards against readers that notice a silence one after another, and whose
+    # polls then end together.
+    bench.must_read = True
+    bench.follower.polls.membership.merge(
+        [peer(f'n{number}') for number in range(2, 6)]
+    )
+    bench.start()
+    bench.run(2.5)
+    bench.store.waiting.errback(StoreError('no answer'))
+    bench.run(RETRY_S * 2)
+    bench.store.waiting.callback(OperatorRecords([], 4))
+    assert bench.store.wait_s == 5
+
+
 def test_read_that_ends_with_a_told_change_is_not_made_again(bench):
     # Guards against needless calls of the store after each change.
     told_by_a_peer(bench)
