Count a lost connection while a request is sent as no answer

Twisted raises it beside ResponseFailed and RequestGenerationFailed, and the stand-in of callers and the command line only caught those two. The command line ended with a traceback instead of trying the next address.

Evidence: test_connection_that_ends_while_it_is_used_gives_no_answer ends with RequestTransmissionFailed without the change.

--- a/packages/cli/bilberryrail/cli/client.py
+++ b/packages/cli/bilberryrail/cli/client.py
@@ -13,7 +13,11 @@
     ConnectingCancelledError,
     ConnectionClosed,
 )
-from twisted.web.client import RequestGenerationFailed, ResponseFailed
+from twisted.web.client import (
+    RequestGenerationFailed,
+    RequestTransmissionFailed,
+    ResponseFailed,
+)
 
 from bilberryrail.cli.errors import BadInput, ClientError, Unreachable
 from bilberryrail.cli.messages import ChangeVerdict, Plan, Rejection, Status
@@ -29,6 +33,7 @@
     CancelledError,
     ResponseFailed,
     RequestGenerationFailed,
+    RequestTransmissionFailed,
 )
 
 Answer = TypeVar('Answer')
--- a/packages/standins/bilberryrail/standins/caller_http.py
+++ b/packages/standins/bilberryrail/standins/caller_http.py
@@ -17,6 +17,7 @@
     Agent,
     HTTPConnectionPool,
     RequestGenerationFailed,
+    RequestTransmissionFailed,
     ResponseFailed,
 )
 from twisted.web.iweb import IResponse
@@ -28,6 +29,7 @@
 _INCOMPLETE_ANSWER_ERRORS = (
     ResponseFailed,
     RequestGenerationFailed,
+    RequestTransmissionFailed,
     ConnectionClosed,
     CancelledError,
 )
--- a/packages/standins/bilberryrail/standins/caller_test.py
+++ b/packages/standins/bilberryrail/standins/caller_test.py
@@ -5,16 +5,21 @@
 
 import itertools
 import random
+from types import SimpleNamespace
 
 import msgspec
 import pytest
-from twisted.internet.defer import ensureDeferred
+from twisted.internet.defer import ensureDeferred, fail
+from twisted.internet.error import ConnectionLost
 from twisted.internet.task import Clock
+from twisted.python.failure import Failure
+from twisted.web.client import RequestTransmissionFailed, ResponseFailed
 
 from bilberryrail.core.records import BackendLimits
 from bilberryrail.standins.backend_model import BackendModel, BackendSettings
 from bilberryrail.standins.caller_calls import Call, Caller, is_cut
 from bilberryrail.standins.caller_http import (
+    CallerHttp,
     Completed,
     NoAnswer,
     NotSent,
@@ -224,3 +229,16 @@
     assert first == list(draw_arrivals(settings, random.Random(7)))
     assert 800 < len(first) < 1200
     assert len({call.request for _, call in first}) == len(first)
+
+
+@pytest.mark.parametrize('error', [RequestTransmissionFailed, ResponseFailed])
+def test_connection_that_ends_while_it_is_used_gives_no_answer(error):
+    # Guards against a load process that ends because a node is killed while a
+    # request is being sent to it.
+    http = CallerHttp(Clock())
+    reasons = [Failure(ConnectionLost())]
+    http.client = SimpleNamespace(
+        post=lambda *_, **kwargs: fail(error(reasons))
+    )
+    posting = ensureDeferred(http.post('http://node', {}, b'', 1))
+    assert posting.result == NoAnswer(error.__name__)
