Do not count a pause of this process as the silence of its peers

The check of the links now leaves out the time by which it was called late.

Evidence: test_pause_of_this_process_is_not_the_silence_of_its_peers fails without the change.

--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -31,6 +31,9 @@
 #: Interval at which links are checked for silence, in seconds.
 CHECK_INTERVAL_S: Final = 0.1
 
+#: Delay of such a check from which on this process itself was paused, in seconds.
+MIN_PAUSE_S: Final = 0.1
+
 #: Bounds of the exponential backoff before a link is opened again, in seconds.
 MIN_BACKOFF_S: Final = 0.1
 MAX_BACKOFF_S: Final = 2.0
@@ -100,6 +103,8 @@
         Nodes to which links are kept open.
     is_full_mesh
         Whether links are kept open to all nodes.
+    checked_at
+        Time of the last check for silent links.
     """
 
     def __init__(
@@ -123,6 +128,7 @@
         self.outgoing: dict[NodeId, OutgoingLink] = {}
         self.incoming: dict[NodeId, Link] = {}
         self.is_closed = False
+        self.checked_at: float = reactor.seconds()
         self.acceptor = _LinkAcceptor(self)
         self.silence_check = PeriodicTask(
             reactor, CHECK_INTERVAL_S, self._check_links, log
@@ -334,9 +340,17 @@
             outgoing.link.close()
 
     def _check_links(self) -> None:
+        """Check for silent links, without the time of a pause of this process.
+
+        What peers have sent in such a pause has not been read yet.
+        """
         now = self.reactor.seconds()
+        late_s = now - self.checked_at - CHECK_INTERVAL_S
+        paused_s = late_s if late_s > MIN_PAUSE_S else 0
+        self.checked_at = now
         for outgoing in tuple(self.outgoing.values()):
             if outgoing.link is not None and outgoing.link.is_up:
+                outgoing.link.received_at += paused_s
                 outgoing.link.check_silence(now)
 
 
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -330,3 +330,16 @@
     bench.deliver(link, messages.Load(BackendLoad()))
     assert ('received', 'n2', 'Load') in bench.events.log
     assert not link.transport.disconnecting
+
+
+def test_pause_of_this_process_is_not_the_silence_of_its_peers(bench):
+    # Guards against a node that gives up all that runs at its peers when it
+    # continues after a pause, before it reads what they have sent meanwhile.
+    link = bench.dial()
+    link.send(forward(1))
+    bench.reactor.pump(repeat(0.1, 3))
+    bench.reactor.advance(5 * LOST_AFTER_S)
+    assert not link.transport.disconnecting
+    assert ('suspected', 'n2') not in bench.events.log
+    bench.reactor.pump(repeat(0.1, int(LOST_AFTER_S / 0.1) + 1))
+    assert link.transport.disconnecting
