--- a/packages/soak/bilberryrail/soak/__main__.py
+++ b/packages/soak/bilberryrail/soak/__main__.py
@@ -25,7 +25,8 @@
         float, typer.Option(help='Seconds in which faults are applied.')
     ] = 20.0,
     scenario: Annotated[
-        str, typer.Option(help='What happens: faults, stops or silence.')
+        str,
+        typer.Option(help='What happens: faults, stops, silence or uploads.'),
     ] = 'faults',
 ) -> None:
     """Run soaks with consecutive seeds and report violated guarantees."""
--- a/packages/soak/bilberryrail/soak/checkers.py
+++ b/packages/soak/bilberryrail/soak/checkers.py
@@ -56,6 +56,9 @@
     (0, HTTPStatus.BAD_GATEWAY, HTTPStatus.GATEWAY_TIMEOUT)
 )
 
+#: Memory over which the platform ends a process, in bytes.
+MAX_MEMORY_BYTES: Final = 300_000_000
+
 #: Minimum share of requests that must be served once all faults are over.
 MIN_SERVED_SHARE: Final = 0.95
 
@@ -144,6 +147,8 @@
         stops; None if there are others.
     added_routes
         Routes that the configuration has got after the start.
+    memory_bytes
+        Largest resident memory of the processes of each node.
     """
 
     runs: list[Run] = field(default_factory=list)
@@ -162,6 +167,7 @@
     stops: list[tuple[float, str]] = field(default_factory=list)
     patience_s: float | None = None
     added_routes: list[AddedRoute] = field(default_factory=list)
+    memory_bytes: dict[str, int] = field(default_factory=dict)
 
 
 def violations(observations: Observations) -> list[str]:
@@ -182,6 +188,7 @@
             _newest_configuration_in_force,
             _added_routes_in_force,
             _stops_cut_nothing,
+            _memory_limited,
             _recovery,
         )
         for line in check(observations)
@@ -406,6 +413,12 @@
     )
 
 
+def _memory_limited(observations: Observations) -> Iterator[str]:
+    for node, used in observations.memory_bytes.items():
+        if used > MAX_MEMORY_BYTES:
+            yield f'memory: {node} used {used} bytes'
+
+
 def _recovery(observations: Observations) -> Iterator[str]:
     fault_free = observations.fault_free
     if fault_free is None:
--- a/packages/soak/bilberryrail/soak/checkers_test.py
+++ b/packages/soak/bilberryrail/soak/checkers_test.py
@@ -258,3 +258,9 @@
     assert violation_kinds(found) == ['config']
     late = replace(missing, sent_at=11.5)
     assert not violations(observe(calls=[late], added_routes=[added]))
+
+
+def test_node_that_exceeds_its_memory_is_found():
+    # Guards against nodes that the platform ends because of their memory.
+    found = observe(memory_bytes={'n0': 300_000_001, 'n1': 100_000_000})
+    assert violation_kinds(found) == ['memory']
--- a/packages/soak/bilberryrail/soak/regression_test.py
+++ b/packages/soak/bilberryrail/soak/regression_test.py
@@ -51,6 +51,13 @@
     run_soak(101, 8, 'stops')
 
 
+@pytest.mark.timeout(120)
+def test_uploads_do_not_end_a_node():
+    # Guards against large bodies that together exceed the memory of a node, for
+    # which the platform ends it with all the requests of its other clients.
+    run_soak(140, 5, 'uploads')
+
+
 @pytest.mark.timeout(120)
 def test_configuration_is_in_force_although_the_store_falls_silent():
     # Guards against nodes that notice only after 12 s that their connections to
--- a/packages/soak/bilberryrail/soak/run.py
+++ b/packages/soak/bilberryrail/soak/run.py
@@ -25,6 +25,7 @@
 from bilberryrail.soak.restores import RestoreDriver
 from bilberryrail.soak.silent_store import SilentStoreDriver
 from bilberryrail.soak.statements import StatementDriver
+from bilberryrail.soak.uploads import UploadDriver
 
 #: Time in seconds for the fleet to start before callers send requests.
 WARM_UP_S: Final = 3.0
@@ -46,6 +47,8 @@
     STOPS = 'stops'
     #: Only connections to the store that fall silent.
     SILENCE = 'silence'
+    #: Only several large bodies at once.
+    UPLOADS = 'uploads'
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +130,7 @@
         )
         self.stops = PlannedStopDriver(reactor, settings.seed, self.fleet)
         self.silence = SilentStoreDriver(reactor, settings.seed, self.fleet)
+        self.uploads = UploadDriver(reactor, settings.seed, self.fleet)
         self.started_at: float = 0
 
     def run(self) -> Any:
@@ -157,6 +161,8 @@
                 await self.stops.run(ends_at)
             case Scenario.SILENCE:
                 await self.silence.run(ends_at)
+            case Scenario.UPLOADS:
+                await self.uploads.run(ends_at)
         await deferLater(self.reactor, RECOVERY_S)
         now = self.reactor.seconds()
         for caller in self.fleet.callers:
@@ -204,6 +210,7 @@
                     + self.malformed_input.history
                     + self.stops.history
                     + self.silence.history
+                    + self.uploads.history
                 )
             ),
             folder=self.folder,
