Word three comments of the new modules more precisely

Found when reading the diff again: the first wait follows a poll that has ended early, a transport copies what is written to it all at once, and it asks for a part after it has sent the one before. No behaviour changes.

--- a/packages/gateway/bilberryrail/gateway/chunk_producer.py
+++ b/packages/gateway/bilberryrail/gateway/chunk_producer.py
@@ -14,7 +14,7 @@
 class ChunkProducer:
     """Writes chunks one by one, each when the transport has sent the last one.
 
-    A transport copies what is written to it at once.
+    What is written to a transport all at once is copied as a whole.
 
     Parameters
     ----------
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -290,7 +290,7 @@
         self.outgoing_bodies.add(message, self.transport)
 
     def _send_part(self, part: messages.BodyPart) -> None:
-        # The peer has taken the part before.
+        # The transport asks for a part after it has sent the one before.
         self.received_at = self.links.reactor.seconds()
         self._write(part)
 
--- a/packages/gateway/bilberryrail/gateway/poll_schedule.py
+++ b/packages/gateway/bilberryrail/gateway/poll_schedule.py
@@ -19,8 +19,9 @@
 class PollSchedule:
     """Waits of one reader's long polls.
 
-    All polls end at once with a change. After that, each reader begins with a
-    wait of another length, so that their ends are spread evenly from then on.
+    All polls end early, and at the same time, with a change. After that, each
+    reader begins with a wait of another length, so that their ends are spread
+    evenly from then on.
     """
 
     def __init__(self, membership: Membership) -> None:
@@ -32,7 +33,7 @@
         Parameters
         ----------
         is_first
-            Whether it is the first one after a change.
+            Whether it is the first one after a poll that has ended early.
         """
         membership = self.membership
         readers = expected_readers([membership.own, *membership.others()])
