Let the readers of the store take turns by the time of day

One node had the change before from the store, six from peers 1.2 s later, and one had timed out by itself. Each began its next waits at another moment, so that at the second silence two to three seconds passed until a poll ended.

Cause: the waits were spread from an event that all readers should have seen at the same time, and there is none. The poll of each reader now ends at its own time in each period of the time of day, however the polls before have ended. This also takes the place of the first wait after a change.

--- a/packages/gateway/bilberryrail/gateway/follower.py
+++ b/packages/gateway/bilberryrail/gateway/follower.py
@@ -27,10 +27,6 @@
 RETRY_S: Final = 0.25
 MAX_RETRY_S: Final = 1.0
 
-#: Share of its wait after which a read counts as having waited to the end; clocks
-#: differ a little.
-FULL_WAIT_SHARE: Final = 0.9
-
 #: Time in which the store must tell a change that another node knows already, in
 #: seconds.
 TOLD_GRACE_S: Final = 0.5
@@ -51,9 +47,6 @@
 
     Attributes
     ----------
-    ended_early
-        Whether the last read that waited ended before its wait was over. This
-        happens to all readers at once, after a change or a reset.
     reading
         The read of records in flight; None if there is none.
     on_operators
@@ -77,7 +70,6 @@
         self.health = health
         self.log = health.log
         self.polls = polls
-        self.ended_early = True
         self.reading: Deferred[OperatorRecords] | None = None
         self.must_read = must_read
         self.task = Supervisor(reactor, self._follow, health.log)
@@ -123,7 +115,6 @@
 
     async def _read_state(self) -> None:
         snapshot = await self.store.operator_state()
-        self.ended_early = True
         self.health.answered('operator-state', snapshot.era)
         self._log_state(snapshot)
         known_era = self.operators.position.era
@@ -143,9 +134,7 @@
         position = self.operators.position
         # After a failed call the store may be in another era. A read that waits
         # for new records would not show this until the next change.
-        wait_s: float = 0
-        if self.health.is_reachable:
-            wait_s = self.polls.wait_s(is_first=self.ended_early)
+        wait_s = self.polls.wait_s() if self.health.is_reachable else 0
         found = await self._read(position.offset, wait_s)
         self.health.answered('operator-records', found.era)
         self._log_records(found, position)
@@ -159,21 +148,14 @@
     async def _read(self, offset: int, wait_s: float) -> OperatorRecords:
         reading = ensureDeferred(self.store.operator_records(offset, wait_s))
         self.reading = reading
-        began_at = self.reactor.seconds()
-        is_cancelled = False
         try:
             return await reading
         except CancelledError as error:
-            is_cancelled = True
             raise StoreError(
                 'a change that a peer has told is missing'
             ) from error
         finally:
             self.reading = None
-            if wait_s:
-                took_s = self.reactor.seconds() - began_at
-                is_early = took_s < wait_s * FULL_WAIT_SHARE
-                self.ended_early = is_early or is_cancelled
 
     def _end_read(self, reading: 'Deferred[OperatorRecords]') -> None:
         if reading is self.reading:
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -249,7 +249,7 @@
             store,
             self.operators,
             health,
-            PollSchedule(self.membership),
+            PollSchedule(self.membership, wall_ms),
             self._must_read,
         )
         self.follower.on_operators = self._operators_changed
