--- a/packages/gateway/bilberryrail/gateway/body_parts.py
+++ b/packages/gateway/bilberryrail/gateway/body_parts.py
@@ -46,9 +46,10 @@
 
     def drop(self, attempt: AttemptId) -> None:
         """Send no more of a body that the target does not need."""
-        self.queue = deque(
-            queued for queued in self.queue if queued[0] != attempt
-        )
+        if self.queue:
+            self.queue = deque(
+                queued for queued in self.queue if queued[0] != attempt
+            )
 
     def clear(self) -> None:
         """Send no more of any body."""
--- a/packages/gateway/bilberryrail/gateway/http_server.py
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -196,7 +196,7 @@
         size = self.framing.body_bytes
         if self.is_ending or size > self.server.limits.body_bytes:
             return
-        if not self.body.add(chunk):
+        if not self.body.add(chunk, size):
             self._refuse_body(size)
 
     def on_message_complete(self) -> None:
--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -224,8 +224,8 @@
         self.candidates.runs.forget(node)
         self.membership.forget(node)
         self.membership.restore(present.node)
-        self.merge_announcements([present])
-        self.apply_membership()
+        if not self.merge_announcements([present]):
+            self.apply_membership()
 
     def apply_membership(self) -> None:
         """Update candidates and links to match the membership."""
--- a/packages/gateway/bilberryrail/gateway/request_body.py
+++ b/packages/gateway/bilberryrail/gateway/request_body.py
@@ -20,7 +20,6 @@
     def __init__(self, budget: MemoryBudget) -> None:
         self.reservation = Reservation(budget)
         self.chunks: list[bytes] = []
-        self.size = 0
 
     def reserve(self, size: int) -> bool:
         """Reserve memory for a size; return whether there is enough."""
@@ -28,10 +27,9 @@
             return True
         return self.reservation.resize(size)
 
-    def add(self, chunk: bytes) -> bool:
-        """Add a part; return whether there is memory for it."""
-        self.size += len(chunk)
-        has_memory = self.reserve(self.size)
+    def add(self, chunk: bytes, size: int) -> bool:
+        """Add a part, which makes the body a size; return whether it fits."""
+        has_memory = self.reserve(size)
         if has_memory:
             self.chunks.append(chunk)
         return has_memory
--- a/packages/soak/bilberryrail/soak/crashes.py
+++ b/packages/soak/bilberryrail/soak/crashes.py
@@ -8,7 +8,7 @@
 
 from bilberryrail.adapter import names
 from bilberryrail.adapter.standins.backend_server import CRASHING
-from bilberryrail.gateway.http_channel import ChannelError, HttpChannel
+from bilberryrail.forwarding.records import HttpRequest
 from bilberryrail.soak import topology
 from bilberryrail.soak.checkers import Crash
 from bilberryrail.soak.driver import Driver
@@ -71,25 +71,16 @@
             )
 
     async def _send(self, target: bytes, host: topology.Host) -> None:
-        address = host.address('clients')
-        channel = HttpChannel(
-            self.reactor, address.host, address.port, _TIMEOUT_S
-        )
         request_id = f'{host.name}/crash-{next(self.numbers)}'
         path = topology.LOOKUP.prefix.rstrip('/').encode() + target
-        try:
-            await channel.request(
-                b'GET',
-                path,
-                (
-                    (b'Host', topology.LOOKUP.host.encode()),
-                    (names.ATTEMPT_ID, request_id.encode()),
-                    (names.DEADLINE_MS, b'%d' % int(_TIMEOUT_S * 1000)),
-                ),
-                b'',
-                _TIMEOUT_S,
-            )
-        except ChannelError:
-            # The node is down or cuts the request; the next one is sent anyway.
-            return
-        channel.close()
+        headers = (
+            (b'Host', topology.LOOKUP.host.encode()),
+            (names.ATTEMPT_ID, request_id.encode()),
+            (names.DEADLINE_MS, b'%d' % int(_TIMEOUT_S * 1000)),
+        )
+        # The node may be down or cut the request; the next one is sent anyway.
+        await self.send(
+            host.address('clients'),
+            HttpRequest(b'GET', path, headers, b''),
+            _TIMEOUT_S,
+        )
--- a/packages/soak/bilberryrail/soak/malformed_input.py
+++ b/packages/soak/bilberryrail/soak/malformed_input.py
@@ -7,7 +7,7 @@
 from twisted.internet.task import deferLater
 
 from bilberryrail.adapter import names
-from bilberryrail.gateway.http_channel import ChannelError, HttpChannel
+from bilberryrail.forwarding.records import HttpRequest
 from bilberryrail.soak.driver import Driver
 from bilberryrail.soak.fleet import STRANGER
 
@@ -79,16 +79,10 @@
         payload = msgspec.json.encode(body)
         payload = self.random.choice((payload, _DEEP_JSON))
         target = names.INSTANCES_PATH + backend.instance.encode()
-        ensureDeferred(self._send(host, target, payload))
-
-    async def _send(self, host: str, target: bytes, payload: bytes) -> None:
-        address = self.fleet.nodes[host].host.address('control')
-        channel = HttpChannel(
-            self.reactor, address.host, address.port, _TIMEOUT_S
+        # The node may be down; what it answers does not matter here.
+        sending = self.send(
+            self.fleet.nodes[host].host.address('control'),
+            HttpRequest(b'PUT', target, (), payload),
+            _TIMEOUT_S,
         )
-        try:
-            await channel.request(b'PUT', target, (), payload, _TIMEOUT_S)
-        except ChannelError:
-            # The node may be down; what it answers does not matter here.
-            return
-        channel.close()
+        ensureDeferred(sending)
--- a/packages/soak/bilberryrail/soak/run.py
+++ b/packages/soak/bilberryrail/soak/run.py
@@ -192,6 +192,16 @@
 
     def _report(self) -> SoakReport:
         observations = self.fleet.observations
+        actors = (
+            self.driver,
+            self.statements,
+            self.restores,
+            self.crashes,
+            self.malformed_input,
+            self.stops,
+            self.silence,
+            self.uploads,
+        )
         return SoakReport(
             seed=self.settings.seed,
             calls=len(observations.calls),
@@ -203,14 +213,7 @@
             history=tuple(
                 (round(at - self.started_at, 2), name, host)
                 for at, name, host in sorted(
-                    self.driver.history
-                    + self.statements.history
-                    + self.restores.history
-                    + self.crashes.history
-                    + self.malformed_input.history
-                    + self.stops.history
-                    + self.silence.history
-                    + self.uploads.history
+                    entry for actor in actors for entry in actor.history
                 )
             ),
             folder=self.folder,
--- a/packages/soak/bilberryrail/soak/uploads.py
+++ b/packages/soak/bilberryrail/soak/uploads.py
@@ -8,7 +8,9 @@
 from twisted.internet.task import deferLater
 
 from bilberryrail.adapter import names
-from bilberryrail.gateway.http_channel import ChannelError, HttpChannel
+from bilberryrail.forwarding.records import HttpRequest
+from bilberryrail.gateway.answer_reader import RawAnswer
+from bilberryrail.gateway.http_channel import ChannelError
 from bilberryrail.soak import topology
 from bilberryrail.soak.driver import Driver
 
@@ -51,25 +53,22 @@
     async def _upload(
         self, host: topology.Host, number: int, body: bytes
     ) -> None:
-        address = host.address('clients')
-        channel = HttpChannel(
-            self.reactor, address.host, address.port, PATIENCE_S
-        )
         headers = (
             (b'Host', topology.BOOKING.host.encode()),
             (names.ATTEMPT_ID, f'{host.name}/upload-{number}'.encode()),
             (names.DEADLINE_MS, b'%d' % int(PATIENCE_S * 1000)),
         )
         target = f'{topology.BOOKING.prefix}{number}'.encode()
-        try:
-            raw = await channel.request(
-                b'POST', target, headers, body, PATIENCE_S
-            )
-        except ChannelError as error:
-            self.remember(f'upload failed: {error}', host.name)
-            return
-        self.remember(f'upload answered {raw.status}', host.name)
-        channel.close()
+        found = await self.send(
+            host.address('clients'),
+            HttpRequest(b'POST', target, headers, body),
+            PATIENCE_S,
+        )
+        match found:
+            case ChannelError():
+                self.remember(f'upload failed: {found}', host.name)
+            case RawAnswer(status=status):
+                self.remember(f'upload answered {status}', host.name)
 
     async def _record_memory(self, ends_at: float) -> None:
         most = self.fleet.observations.memory_bytes
