--- a/review/6/play.py
+++ b/review/6/play.py
@@ -55,27 +55,13 @@
 
 async def play(record, folder, has_trouble, started):
     """Play the case; return whether the rule held."""
-    store = standins.Store(standins.free_address())
-    started.append(store)
-    await store.open()
-    store.put('keyed.op', 'config', standins.configuration(7, ROUTES))
-    nodes, workers = [], []
-    for name, service in (('a', 'orders'), ('b', 'orders'), ('c', 'billing')):
-        node = standins.Node(name, service, store.address, folder, record)
-        worker = standins.Worker(
-            service,
-            node.addresses['worker'],
-            node.addresses['control'],
-            record,
-        )
-        nodes.append(node)
-        workers.append(worker)
-    started += [*nodes, *workers]
-    for node, worker in zip(nodes, workers, strict=True):
-        await worker.open()
-        node.start()
-    for node in nodes:
-        await node.wait_until_ready()
+    kinds = [
+        (service, standins.Worker, 0.02)
+        for service in ('orders', 'orders', 'billing')
+    ]
+    nodes, workers = await standins.start_deployment(
+        kinds, ROUTES, folder, record, started
+    )
     first, _, third = nodes
     await standins.wait_until_routed(third, HOST, '/billing/x', record)
     await asyncio.sleep(3)
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -604,6 +604,40 @@
     ).encode()
 
 
+async def start_deployment(kinds, routes, folder, record, started):
+    """Start a store with a configuration, and nodes beside workers.
+
+    Parameters
+    ----------
+    kinds
+        Service of each worker, its class, and how long its work takes in
+        seconds. The nodes are named a, b and so on.
+    """
+    store = Store(free_address())
+    started.append(store)
+    await store.open()
+    store.put('keyed.op', 'config', configuration(7, routes))
+    nodes, workers = [], []
+    for name, (service, kind, work_s) in zip('abcdef', kinds, strict=False):
+        node = Node(name, service, store.address, folder, record)
+        worker = kind(
+            service,
+            node.addresses['worker'],
+            node.addresses['control'],
+            record,
+            slots=18,
+            work_s=work_s,
+        )
+        started += [node, worker]
+        nodes.append(node)
+        workers.append(worker)
+        await worker.open()
+        node.start()
+    for node in nodes:
+        await node.wait_until_ready()
+    return nodes, workers
+
+
 class Bystanders:
     """Clients with kept connections, and the platform's limit on memory.
 
