Use a new instance only once its service is known

The address of a backend server that had ended was given to one of another service.

Cause: a health check names the instance and not its service. Backend kept the service of the run before and made the new instance ready for it, until the first heartbeat. The announcement then offered it to all ingress nodes, with an instance that fits, so Bilberryrail-Expect-Instance did not help.

Change: the service belongs to the run. An instance that a health check has identified is not used, and not announced, until its own heartbeat or another node names its service. The settings are not used: the file may change later than the instance, and without a signal. A delayed heartbeat of the earlier instance no longer replaces an instance that a health check has identified, and one with an earlier start than the run before (clock set back) is accepted if a health check has identified its instance.

test_health_check_names_the_instance_before_its_heartbeat asserted the fault: a health check alone made an instance usable. What it guards against, a restarted node that waits for a heartbeat, is checked by test_restarted_node_uses_the_instance_that_others_know, which also asserts that nothing is used before and that the service is right.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -14,6 +14,7 @@
 )
 from bilberryrail.forwarding.records import (
     NO_FINGERPRINT,
+    BackendIdentity,
     BackendLoad,
     BackendPhase,
     BackendRun,
@@ -50,6 +51,9 @@
 
     Attributes
     ----------
+    service
+        Service of the present run; None until its heartbeat or another node
+        names it.
     statements
         What its runs have stated about themselves. Those that have left get no
         new requests.
@@ -59,6 +63,12 @@
         Finds the requests that were in flight when a run ended.
     running
         Requests that are in flight, by number, oldest first.
+    has_heartbeat
+        Whether a heartbeat of the present run has arrived.
+    failed_checks
+        Failed health checks since the last successful one.
+    warm_at
+        Time of the last health check that showed that it is warm.
     """
 
     def __init__(self, settings: AdmissionSettings) -> None:
@@ -77,10 +87,10 @@
         self.rules: ServiceRules | None = None
         self.running: dict[int, RunningRequest] = {}
         self.crashes = CrashWatch(self.statements, self.running)
-        self._has_heartbeat = False
+        self.has_heartbeat = False
         self._untracked_running = 0
-        self._failed_checks = 0
-        self._warm_at = Seconds(-math.inf)
+        self.failed_checks = 0
+        self.warm_at = Seconds(-math.inf)
         self._answered_at = Seconds(-math.inf)
         self._sent_at = Seconds(-math.inf)
 
@@ -92,7 +102,7 @@
         also if it is late, because a run does not take it back, and because a
         malformed sequence number would make all later heartbeats look old.
         """
-        if heartbeat.born_ms < self.born_ms:
+        if _is_of_earlier_run(self, heartbeat):
             return False
         run = BackendRun(heartbeat.instance, heartbeat.born_ms)
         is_same = self.run is not None and run.is_same_as(self.run)
@@ -102,10 +112,11 @@
             self.crashes.run_confirmed()
         else:
             self._run_started(run, now)
-        self._has_heartbeat = True
+        self.has_heartbeat = True
         self.born_ms = heartbeat.born_ms
         self.sequence = heartbeat.sequence
         self.service = heartbeat.service
+        self.statements.service_stated(run.instance, heartbeat.service)
         self.slots = heartbeat.slots or self.slots
         self.phase = heartbeat.phase
         if heartbeat.phase is BackendPhase.DRAINING:
@@ -137,26 +148,30 @@
         if self.run is not None and self.statements.has_left(self.run):
             self.phase = BackendPhase.DRAINING
 
+    def identity_told(self, identity: BackendIdentity) -> None:
+        """Apply what another node knows about the service of an instance."""
+        self.statements.service_stated(identity.instance, identity.service)
+        if not self.failed_checks:
+            _use_stated_service(self)
+
     def health_checked(self, health: HealthResult, now: Seconds) -> None:
         """Apply the result of a health check."""
         if health.instance and health.instance != self.instance:
             # The first heartbeat of the instance has not arrived yet.
-            run = BackendRun(health.instance, self.born_ms)
-            self._run_started(run, now)
-            self._has_heartbeat = False
-            if health.is_healthy and not self.statements.has_left(run):
-                self.phase = BackendPhase.READY
+            self._run_started(BackendRun(health.instance, self.born_ms), now)
+            self.has_heartbeat = False
         if health.load is not None:
             self.load_reported(health.load, now)
         if health.cold_s is not None:
-            self._cold_reported(health.cold_s, now)
+            _apply_cold_time(self, health.cold_s, now)
         if health.is_healthy or health.instance:
             self.crashes.responded(now)
         if health.is_healthy:
             self.down = False
-            self._failed_checks = 0
+            self.failed_checks = 0
+            _use_stated_service(self)
         else:
-            self._failed_checks += 1
+            self.failed_checks += 1
 
     @property
     def run(self) -> BackendRun | None:
@@ -212,7 +227,7 @@
         """Return whether new requests may be sent at all."""
         if self.phase is not BackendPhase.READY or self.down:
             return False
-        if self._failed_checks < _UNHEALTHY_AFTER_CHECKS:
+        if self.failed_checks < _UNHEALTHY_AFTER_CHECKS:
             return True
         if now - self._answered_at < _HEALTHY_AFTER_ANSWER_S:
             return True
@@ -241,7 +256,7 @@
         A backend server may become cold without notice, so the limit applies
         unless a fresh health check shows that the server is warm.
         """
-        is_known_warm = now - self._warm_at < self.settings.health_fresh_s
+        is_known_warm = now - self.warm_at < self.settings.health_fresh_s
         if is_known_warm and not self.cold.is_cold(now):
             return math.inf
         if self.rules is None:
@@ -283,29 +298,60 @@
             rate_credit=round(self.statements.rate.credit(waiting, now), 2),
         )
 
-    def _cold_reported(self, cold_s: float, now: Seconds) -> None:
-        if cold_s > 0:
-            self.cold.turned_cold(cold_s, now)
-        else:
-            self.cold.turned_warm()
-            self._warm_at = now
-
     def _run_started(self, run: BackendRun, now: Seconds) -> None:
         # The first heartbeat of an instance that a health check has identified
         # only adds the time of its start.
-        if run.instance != self.instance or self._has_heartbeat:
+        if run.instance != self.instance or self.has_heartbeat:
             self.crashes.run_ended(self.run)
         self.instance = run.instance
+        self.service = None
         self.born_ms = run.born_ms
         self.sequence = -1
         self.phase = BackendPhase.ABSENT
-        self._warm_at = Seconds(-math.inf)
-        self._failed_checks = 0
+        self.warm_at = Seconds(-math.inf)
+        self.failed_checks = 0
         self.statements.run_started(run, now)
         self.service_time.restart()
         self.errors = ErrorShare()
 
 
+def _is_of_earlier_run(backend: Backend, heartbeat: Heartbeat) -> bool:
+    """Return whether a heartbeat is of a run before the present one.
+
+    An instance that a health check has identified is present, even if it states
+    an earlier start: the clock of the host may have been set back.
+    """
+    if backend.has_heartbeat or backend.instance is None:
+        return heartbeat.born_ms < backend.born_ms
+    if heartbeat.instance == backend.instance:
+        return False
+    return bool(backend.born_ms) and heartbeat.born_ms <= backend.born_ms
+
+
+def _use_stated_service(backend: Backend) -> None:
+    """Use an instance that a health check has identified.
+
+    It is not used until its service is known. Its address may have belonged to
+    a backend server of another service, and the settings may be older than the
+    instance.
+    """
+    run = backend.run
+    if run is None or backend.has_heartbeat:
+        return
+    backend.service = backend.statements.services.get(run.instance)
+    if backend.service is not None and not backend.statements.has_left(run):
+        backend.phase = BackendPhase.READY
+
+
+def _apply_cold_time(backend: Backend, cold_s: float, now: Seconds) -> None:
+    """Apply how long the backend server remains cold; zero if it is warm."""
+    if cold_s > 0:
+        backend.cold.turned_cold(cold_s, now)
+    else:
+        backend.cold.turned_warm()
+        backend.warm_at = now
+
+
 def _apply_late_departure(backend: Backend, heartbeat: Heartbeat) -> bool:
     """Apply a departure in a late heartbeat; return whether it is new."""
     is_new = (
--- a/packages/forwarding/bilberryrail/forwarding/backend_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend_test.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from bilberryrail.core.ids import Seconds
+from bilberryrail.core.ids import Seconds, ServiceId
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.bounds import MAX_COUNT
 from bilberryrail.forwarding.fixtures_test import BOARD, RULES
@@ -12,19 +12,35 @@
     LoadReport,
     Notice,
 )
-from bilberryrail.forwarding.records import BackendPhase, InstanceId, RouteId
+from bilberryrail.forwarding.records import (
+    BackendIdentity,
+    BackendPhase,
+    InstanceId,
+    RouteId,
+)
 from bilberryrail.forwarding.settings import AdmissionSettings
 
 NOW = Seconds(10)
+LEDGER = ServiceId('ledger')
 ROUTE = RouteId('r1')
 
 
+def healthy(name):
+    return HealthResult(is_healthy=True, instance=InstanceId(name))
+
+
 def heartbeat(
-    name='i1', *, born=100, seq=1, phase=BackendPhase.READY, cold=0.0
+    name='i1',
+    *,
+    service=BOARD,
+    born=100,
+    seq=1,
+    phase=BackendPhase.READY,
+    cold=0.0,
 ):
     return Heartbeat(
         instance=InstanceId(name),
-        service=BOARD,
+        service=service,
         address='10.0.0.1:80',
         phase=phase,
         slots=10,
@@ -121,13 +137,50 @@
     assert backend.is_usable(NOW)
 
 
-def test_health_check_names_the_instance_before_its_heartbeat():
+@pytest.mark.parametrize('is_told_first', [False, True])
+def test_restarted_node_uses_the_instance_that_others_know(is_told_first):
     # Guards against a restarted node that cannot serve until the next
-    # heartbeat.
+    # heartbeat, although other nodes know the service of its backend server.
     backend = Backend(AdmissionSettings())
-    backend.health_checked(
-        HealthResult(is_healthy=True, instance=InstanceId('i1')), NOW
-    )
+    steps = [
+        lambda: backend.health_checked(healthy('i1'), NOW),
+        lambda: backend.identity_told(BackendIdentity('i1', BOARD)),
+    ]
+    for step in reversed(steps) if is_told_first else steps:
+        assert not backend.is_usable(NOW)
+        step()
+    assert backend.is_usable(NOW)
+    assert backend.service == BOARD
+
+
+def test_instance_is_not_used_before_its_service_is_known(backend):
+    # Guards against requests to a backend server of another service that has
+    # got the address of one that has ended (issue 42).
+    backend.health_checked(healthy('i2'), NOW)
+    backend.identity_told(BackendIdentity('i1', BOARD))
+    backend.health_checked(healthy('i2'), NOW)
+    assert not backend.is_usable(NOW)
+    assert backend.service is None
+    backend.heartbeat_received(heartbeat('i2', born=200, service=LEDGER), NOW)
+    assert backend.is_usable(NOW)
+    assert backend.service == LEDGER
+
+
+def test_late_heartbeat_does_not_name_the_service_of_a_new_instance(backend):
+    # Guards against a delayed heartbeat of the backend server that had the
+    # address before, after a health check has identified another one.
+    backend.health_checked(healthy('i2'), NOW)
+    assert not backend.heartbeat_received(heartbeat(seq=2), NOW)
+    backend.health_checked(healthy('i2'), NOW)
+    assert not backend.is_usable(NOW)
+    assert backend.instance == 'i2'
+
+
+def test_instance_with_an_earlier_start_is_used_if_it_answers(backend):
+    # Guards against a backend server that is never used because the clock of
+    # its host was set back before its start.
+    backend.health_checked(healthy('i2'), NOW)
+    assert backend.heartbeat_received(heartbeat('i2', born=50, seq=1), NOW)
     assert backend.is_usable(NOW)
 
 
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -177,6 +177,14 @@
         return not is_known or self.born_ms == other.born_ms
 
 
+@dataclass(frozen=True, slots=True)
+class BackendIdentity:
+    """The service that a backend server instance has stated."""
+
+    instance: Annotated[InstanceId, _Name]
+    service: Annotated[ServiceId, _Name]
+
+
 class BackendPhase(Enum):
     """State of a backend server, as the node beside it knows it."""
 
@@ -234,7 +242,8 @@
     serial
         Number that grows with each change within an incarnation.
     instance
-        Backend server beside the node; empty if there is none.
+        Backend server beside the node; empty if there is none, or if its
+        service is not known yet.
     leaving
         Whether the node is shutting down.
     born_ms
--- a/packages/gateway/bilberryrail/gateway/health_checker.py
+++ b/packages/gateway/bilberryrail/gateway/health_checker.py
@@ -111,6 +111,7 @@
             self.log(
                 'backend_changed',
                 instance=backend.instance,
+                service=backend.service,
                 phase=backend.phase.value,
                 down=backend.down,
             )
--- a/packages/gateway/bilberryrail/gateway/presence_test.py
+++ b/packages/gateway/bilberryrail/gateway/presence_test.py
@@ -8,7 +8,7 @@
 from bilberryrail.core.ids import NodeId, RegionId, Seconds
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.backend import Backend
-from bilberryrail.forwarding.backend_test import heartbeat
+from bilberryrail.forwarding.backend_test import healthy, heartbeat
 from bilberryrail.forwarding.bounds import MAX_CLOCK_LEAD_MS
 from bilberryrail.forwarding.crash_ledger import CrashLedger
 from bilberryrail.forwarding.fixtures_test import SETTINGS, peer
@@ -101,6 +101,17 @@
     assert not bench.stored
 
 
+def test_instance_of_an_unknown_service_is_not_announced(bench):
+    # Guards against requests for the service of the backend server that had the
+    # address before, and against nodes that remember that service (issue 42).
+    bench.backend.heartbeat_received(heartbeat(), Seconds(1))
+    bench.presence.refresh()
+    bench.backend.health_checked(healthy('i2'), Seconds(2))
+    bench.presence.refresh()
+    assert bench.links.broadcasts[-1].peer.phase is BackendPhase.ABSENT
+    assert not bench.links.broadcasts[-1].peer.instance
+
+
 def test_leaving_backend_server_is_stored(bench):
     # Guards against a node that forgets an acknowledged departure in a restart.
     bench.backend.heartbeat_received(heartbeat(), Seconds(1))
