Name the service in forwarded requests, and compare it at the target

Change: Forward names the service that the ingress node has chosen. The target refuses a request for another service as not run (NO_BACKEND), when it arrives and whenever the queue is processed. The field is optional, as nodes of the earlier version do not send it; those ignore it. The log line of a refusal names both services.

--- a/packages/forwarding/bilberryrail/forwarding/fixtures_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/fixtures_test.py
@@ -124,6 +124,7 @@
     idempotent: bool = True,
     fingerprint: Fingerprint = NO_FINGERPRINT,
     is_trial: bool = False,
+    service: str = BOARD,
 ) -> Forward:
     return Forward(
         attempt=AttemptId(attempt),
@@ -137,4 +138,5 @@
         idempotent=idempotent,
         fingerprint=fingerprint,
         is_trial=is_trial,
+        service=ServiceId(service),
     )
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -348,6 +348,7 @@
             idempotent=exchange.route.idempotent,
             fingerprint=exchange.fingerprint,
             is_trial=exchange.is_trial,
+            service=exchange.service,
         )
         self.links.send(node, message)
 
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -3,13 +3,18 @@
 They are encoded as MessagePack arrays, so fields may only be added at the end.
 """
 
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 
 from bilberryrail.core.errors import DECODE_ERRORS
-from bilberryrail.core.ids import AttemptId, AvailabilityZoneId, NodeId
-from bilberryrail.forwarding.bounds import Count, Duration, Number
+from bilberryrail.core.ids import (
+    AttemptId,
+    AvailabilityZoneId,
+    NodeId,
+    ServiceId,
+)
+from bilberryrail.forwarding.bounds import MAX_NAME, Count, Duration, Number
 from bilberryrail.forwarding.records import (
     NO_FINGERPRINT,
     BackendIdentity,
@@ -29,6 +34,8 @@
 )
 from bilberryrail.forwarding.run_statements import KnownRun
 
+_Service = Annotated[ServiceId, msgspec.Meta(max_length=MAX_NAME)]
+
 
 class Hello(msgspec.Struct, array_like=True, tag=0):
     """First message in both directions of a link.
@@ -91,6 +98,9 @@
         Whether it is sent although it is quarantined.
     body_bytes
         Size of a body that follows in parts; zero if ``request`` has the body.
+    service
+        The only service that may run the request; empty if an earlier version
+        sends it.
     """
 
     attempt: AttemptId
@@ -105,6 +115,7 @@
     fingerprint: Fingerprint = NO_FINGERPRINT
     is_trial: bool = False
     body_bytes: Count = 0
+    service: _Service = ServiceId('')
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=3):
--- a/packages/forwarding/bilberryrail/forwarding/target.py
+++ b/packages/forwarding/bilberryrail/forwarding/target.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Any, Final, Protocol
 
-from bilberryrail.core.ids import AttemptId, NodeId, Seconds
+from bilberryrail.core.ids import AttemptId, NodeId, Seconds, ServiceId
 from bilberryrail.forwarding.admission import Admission
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.bounds import MAX_DURATION_S
@@ -153,9 +153,9 @@
             expires_at=Seconds(now + message.remaining_s),
         )
         reason = self.capacity.refusal_reason(now)
-        quarantined_s = _quarantined_s(work, self.quarantine.ledger)
-        if quarantined_s:
-            self._refuse(work, Refusal.QUARANTINED, quarantined_s)
+        denial = _denial(work, self.quarantine.ledger, self.backend.service)
+        if denial is not None:
+            self._refuse(work, *denial)
             return
         if reason is not None:
             self._refuse(work, reason, UNKNOWN_WAIT_S)
@@ -256,12 +256,13 @@
         are queued or paused.
         """
         now = self._now()
+        ledger = self.quarantine.ledger
         for waiting in (*self.queue, *self.paused.work):
-            quarantined_s = _quarantined_s(waiting, self.quarantine.ledger)
-            if quarantined_s:
+            denial = _denial(waiting, ledger, self.backend.service)
+            if denial is not None:
                 self.queue.cancel(waiting)
                 self.paused.cancel(waiting)
-                self._refuse(waiting, Refusal.QUARANTINED, quarantined_s)
+                self._refuse(waiting, *denial)
         reason = self.capacity.refusal_reason(now)
         if reason is not None:
             for work in (*self.queue, *self.paused.release_all()):
@@ -383,7 +384,13 @@
         retry_after_s: float,
     ) -> None:
         self.by_origin.pop(work.origin, None)
-        self.on_decision('refuse', work, reason=reason.value)
+        self.on_decision(
+            'refuse',
+            work,
+            reason=reason.value,
+            wanted=work.message.service,
+            service=self.backend.service,
+        )
         reply = Refused(
             work.origin.attempt,
             reason,
@@ -393,6 +400,29 @@
         self.port.reply(work.origin.node, reply)
 
 
+def _denial(
+    work: Work, ledger: CrashLedger, service: ServiceId | None
+) -> tuple[Refusal, float] | None:
+    """Return why a request must not run here and its retry time, if it must not.
+
+    It is quarantined, or the backend server is of another service than the
+    ingress node knows: the address of a backend server that has ended may be
+    given to one of another service.
+
+    Parameters
+    ----------
+    service
+        Service of the backend server; None if it is not known.
+    """
+    quarantined_s = _quarantined_s(work, ledger)
+    if quarantined_s:
+        return Refusal.QUARANTINED, quarantined_s
+    wanted = work.message.service
+    if wanted and service is not None and wanted != service:
+        return Refusal.NO_BACKEND, UNKNOWN_WAIT_S
+    return None
+
+
 def _quarantined_s(work: Work, ledger: CrashLedger) -> float:
     """Return how long a request must not be sent; zero if it may be."""
     fingerprint = work.message.fingerprint
