Reject an answer whose status is not valid

With a length the answer was taken for an interim one and dropped, and the request waited until its deadline. Statuses of 600 and more were passed on.

Cause: the parser accepts any three digits. Statuses below 200 were taken for interim answers, on one path only; the end of the connection did not check.

Change: AnswerReader rejects a status outside 100 to 599 with the head, for backend servers, health checks and the store. The request may have run, so that the client gets 502, or another server gets it if it may be repeated. An ingress node replaces an invalid status from a target of an earlier version. The log line of a rejected answer names the cause; the parser hid it.

--- a/packages/forwarding/bilberryrail/forwarding/bounds.py
+++ b/packages/forwarding/bilberryrail/forwarding/bounds.py
@@ -45,6 +45,9 @@
 #: Longest fingerprint of a request, in bytes.
 MAX_FINGERPRINT: Final = 16
 
+#: Largest status of an answer (RFC 9110, section 15).
+MAX_STATUS: Final = 599
+
 _MAX_PORT: Final = 65535
 
 Count = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
--- a/packages/forwarding/bilberryrail/forwarding/ingress.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress.py
@@ -23,7 +23,7 @@
 )
 from bilberryrail.forwarding.own_answers import (
     refusal_answer,
-    without_promise,
+    replace_misleading,
 )
 from bilberryrail.forwarding.quarantine import Permission, Quarantine
 from bilberryrail.forwarding.records import (
@@ -199,7 +199,7 @@
             exchange.route.route, reply.usual_s
         )
         exchange.reached.add(node)
-        answer = without_promise(reply.answer)
+        answer = replace_misleading(reply.answer)
         status = answer.status
         if status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self.quarantine.answered(exchange.fingerprint)
--- a/packages/forwarding/bilberryrail/forwarding/ingress_test.py
+++ b/packages/forwarding/bilberryrail/forwarding/ingress_test.py
@@ -388,6 +388,17 @@
     assert bench.answers[-1].is_own
 
 
+@pytest.mark.parametrize('status', [0, 99, 100, 600])
+def test_invalid_status_from_another_node_is_no_answer(bench, status):
+    # Guards against the status 000 of a faulty backend server that a target of
+    # an earlier version passes on (issue 42, MIXED).
+    bench.arrive(idempotent=False)
+    node, attempt = bench.last()
+    bench.ingress.answered(node, Answered(attempt, HttpAnswer(status), LOAD))
+    assert bench.statuses() == [HTTPStatus.BAD_GATEWAY]
+    assert bench.answers[-1].is_own
+
+
 def test_client_is_told_how_long_a_request_is_quarantined(bench):
     # Guards against a client that returns at once, because this node does not
     # know the crashes that the target knows.
--- a/packages/forwarding/bilberryrail/forwarding/own_answers.py
+++ b/packages/forwarding/bilberryrail/forwarding/own_answers.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Final
 
+from bilberryrail.forwarding.bounds import MAX_STATUS
 from bilberryrail.forwarding.records import HttpAnswer
 
 #: Retry time sent to the client when no target is known, in seconds.
@@ -42,12 +43,15 @@
     )
 
 
-def without_promise(answer: HttpAnswer) -> HttpAnswer:
-    """Replace an answer whose status says that the request has not run.
+def replace_misleading(answer: HttpAnswer) -> HttpAnswer:
+    """Replace an answer whose status a client would misunderstand.
 
-    A backend server that has not run a request refuses it; any other answer may
-    come after the run, whatever its status is.
+    It says that the request has not run, or it is no status of an answer. A
+    backend server that has not run a request refuses it; any other answer may
+    come after the run, whatever its status is. Targets reject an answer with an
+    invalid status, but those of an earlier version pass it on.
     """
-    if answer.status in _PROMISE_NOT_RUN:
+    is_final = HTTPStatus.OK <= answer.status <= MAX_STATUS
+    if answer.status in _PROMISE_NOT_RUN or not is_final:
         return HttpAnswer(HTTPStatus.BAD_GATEWAY, is_own=True)
     return answer
--- a/packages/gateway/bilberryrail/gateway/answer_reader.py
+++ b/packages/gateway/bilberryrail/gateway/answer_reader.py
@@ -7,6 +7,7 @@
 
 import httptools
 
+from bilberryrail.forwarding.bounds import MAX_STATUS
 from bilberryrail.forwarding.records import Header, find_header
 from bilberryrail.gateway.framing import Framing, FramingError
 from bilberryrail.gateway.http_text import end_to_end
@@ -103,7 +104,7 @@
             httptools.HttpParserUpgrade,
             FramingError,
         ) as error:
-            raise AnswerError(f'{type(error).__name__}: {error}') from error
+            raise AnswerError(_describe(error)) from error
 
     def close(self) -> None:
         """Release the memory of all answers; no more bytes may be fed.
@@ -148,6 +149,8 @@
             return
         _check_not_merged(self.reason)
         current.status = self.parser.get_status_code()
+        if not HTTPStatus.CONTINUE <= current.status <= MAX_STATUS:
+            raise FramingError(f'status {current.status:03} is not valid')
         current.has_head = True
         current.has_length = any(
             name.lower() in _LENGTHS for name, _ in current.headers
@@ -184,6 +187,17 @@
             self.current = None
 
 
+def _describe(error: Exception) -> str:
+    """Describe an error, or the one that the parser has wrapped.
+
+    The parser wraps the errors of its callbacks.
+    """
+    # A variable in ``feed`` would refer to its own frame, and keep the answer
+    # in memory until the garbage collector runs.
+    cause = error.__context__ or error
+    return f'{type(cause).__name__}: {cause}'
+
+
 def _check_not_merged(text: bytes) -> None:
     """Raise ``FramingError`` if a text holds the beginning of another answer."""
     if _STATUS_LINE.search(text):
--- a/packages/gateway/bilberryrail/gateway/answer_reader_test.py
+++ b/packages/gateway/bilberryrail/gateway/answer_reader_test.py
@@ -103,6 +103,20 @@
     assert reader.complete[0].body == b''
 
 
+@pytest.mark.parametrize('status', [b'000', b'001', b'099', b'600', b'999'])
+@pytest.mark.parametrize(
+    'rest', [b'Content-Length: 4\r\n\r\nbody', b'\r\nbody', b'\r\n']
+)
+@pytest.mark.parametrize('without_body', [False, True])
+def test_answer_with_an_invalid_status_is_rejected(status, rest, without_body):
+    # Guards against a client that gets the status 000 of a faulty backend server
+    # as its answer, and against a request that waits until its deadline because
+    # such an answer was taken for an interim one (issue 42, MIXED).
+    head = b'HTTP/1.1 %b OK\r\nX-Seal: 1\r\n' % status
+    with pytest.raises(AnswerError, match=status.decode()):
+        read(head + rest, without_body=without_body)
+
+
 ENDLESS = {
     'status line': (b'HTTP/1.1 200 ', b'O'),
     'header': (b'HTTP/1.1 200 OK\r\nX: ', b'x'),
--- a/packages/gateway/bilberryrail/gateway/backend_pool_test.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool_test.py
@@ -140,6 +140,19 @@
     assert bench.target.outcomes == [(1, b'mine')]
 
 
+@pytest.mark.parametrize('length', [b'', b'Content-Length: 4\r\n'])
+def test_request_whose_answer_has_no_valid_status_may_have_run(bench, length):
+    # Guards against the status 000 of a faulty backend server that a client gets
+    # as an answer (issue 42, MIXED), and against a wait for another answer.
+    bench.dispatch(1)
+    connection = bench.open()
+    connection.dataReceived(b'HTTP/1.1 000 OK\r\n%b\r\nbody' % length)
+    assert bench.target.outcomes == [(1, Failure.MALFORMED)]
+    assert connection.transport.disconnecting
+    connection.connectionLost(Reason(ConnectionDone()))
+    assert len(bench.target.outcomes) == 1
+
+
 def test_extra_bytes_close_the_connection(bench):
     # Guards against a second answer that is matched to the next request.
     bench.dispatch(1)
--- a/packages/gateway/bilberryrail/gateway/framing.py
+++ b/packages/gateway/bilberryrail/gateway/framing.py
@@ -21,7 +21,7 @@
 
 
 class FramingError(Exception):
-    """A message exceeds one of the limits."""
+    """A message exceeds one of the limits, or its head is not valid."""
 
 
 class Framing:
