Use a new instance at once while its address cannot have been reassigned

Hypothesis: most instances that a health check finds follow one of known service within a second or two, and their service is certain. The platform gives an address to another service only reuse_after after the end of the backend server there, so an instance that is found within that time after an answer of the one before is of the same service. The settings of a process are those that apply at its start, and name the service then.

Change: AddressService remembers the service and when it was certain last. An answer counts from the time at which its check was sent, since a paused process reads it late. Settings that name another service end this. What other nodes know of a restarted node is not needed any more; Hello.identity is removed.

--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from bilberryrail.core.ids import Seconds, ServiceId
+from bilberryrail.forwarding.address_service import AddressService
 from bilberryrail.forwarding.bounds import MAX_RATIO
 from bilberryrail.forwarding.cold import ColdLimiter
 from bilberryrail.forwarding.crash_watch import CrashWatch, RunningRequest
@@ -14,7 +15,6 @@
 )
 from bilberryrail.forwarding.records import (
     NO_FINGERPRINT,
-    BackendIdentity,
     BackendLoad,
     BackendPhase,
     BackendRun,
@@ -51,9 +51,11 @@
 
     Attributes
     ----------
+    address
+        Service that the address belongs to.
     service
-        Service of the present run; None until its heartbeat or another node
-        names it.
+        Service of the present run; None if it is not certain before the first
+        heartbeat.
     statements
         What its runs have stated about themselves. Those that have left get no
         new requests.
@@ -73,6 +75,7 @@
 
     def __init__(self, settings: AdmissionSettings) -> None:
         self.settings = settings
+        self.address = AddressService(settings.address_reuse_s)
         self.instance: InstanceId | None = None
         self.service: ServiceId | None = None
         self.phase = BackendPhase.ABSENT
@@ -116,7 +119,6 @@
         self.born_ms = heartbeat.born_ms
         self.sequence = heartbeat.sequence
         self.service = heartbeat.service
-        self.statements.service_stated(run.instance, heartbeat.service)
         self.slots = heartbeat.slots or self.slots
         self.phase = heartbeat.phase
         if heartbeat.phase is BackendPhase.DRAINING:
@@ -148,18 +150,29 @@
         if self.run is not None and self.statements.has_left(self.run):
             self.phase = BackendPhase.DRAINING
 
-    def identity_told(self, identity: BackendIdentity) -> None:
-        """Apply what another node knows about the service of an instance."""
-        self.statements.service_stated(identity.instance, identity.service)
-        if not self.failed_checks:
-            _use_stated_service(self)
+    def health_checked(
+        self,
+        health: HealthResult,
+        now: Seconds,
+        asked_at: Seconds | None = None,
+    ) -> None:
+        """Apply the result of a health check.
 
-    def health_checked(self, health: HealthResult, now: Seconds) -> None:
-        """Apply the result of a health check."""
+        Parameters
+        ----------
+        asked_at
+            Time at which the check was sent; ``now`` by default. The answer may
+            have been read much later than it was written.
+        """
         if health.instance and health.instance != self.instance:
             # The first heartbeat of the instance has not arrived yet.
             self._run_started(BackendRun(health.instance, self.born_ms), now)
             self.has_heartbeat = False
+            self.service = self.address.current(now)
+        if health.instance and self.service is not None:
+            self.address.seen(
+                self.service, now if asked_at is None else asked_at
+            )
         if health.load is not None:
             self.load_reported(health.load, now)
         if health.cold_s is not None:
@@ -169,7 +182,7 @@
         if health.is_healthy:
             self.down = False
             self.failed_checks = 0
-            _use_stated_service(self)
+            _use_identified_instance(self)
         else:
             self.failed_checks += 1
 
@@ -328,18 +341,12 @@
     return bool(backend.born_ms) and heartbeat.born_ms <= backend.born_ms
 
 
-def _use_stated_service(backend: Backend) -> None:
-    """Use an instance that a health check has identified.
-
-    It is not used until its service is known. Its address may have belonged to
-    a backend server of another service, and the settings may be older than the
-    instance.
-    """
+def _use_identified_instance(backend: Backend) -> None:
+    """Use an instance before its first heartbeat if its service is certain."""
     run = backend.run
-    if run is None or backend.has_heartbeat:
+    if run is None or backend.has_heartbeat or backend.service is None:
         return
-    backend.service = backend.statements.services.get(run.instance)
-    if backend.service is not None and not backend.statements.has_left(run):
+    if not backend.statements.has_left(run):
         backend.phase = BackendPhase.READY
 
 
--- a/packages/forwarding/bilberryrail/forwarding/messages.py
+++ b/packages/forwarding/bilberryrail/forwarding/messages.py
@@ -17,7 +17,6 @@
 from bilberryrail.forwarding.bounds import MAX_NAME, Count, Duration, Number
 from bilberryrail.forwarding.records import (
     NO_FINGERPRINT,
-    BackendIdentity,
     BackendLoad,
     ConfigVersion,
     Crashes,
@@ -54,9 +53,6 @@
         Crashes for which the sender has requests in quarantine.
     accepts_body_parts
         Whether the sender accepts bodies of requests in parts.
-    identity
-        Backend server instance that the expected node has announced last; None
-        if it has announced none.
     """
 
     peer: Peer
@@ -65,7 +61,6 @@
     known: KnownRun | None = None
     crashes: Crashes = ()
     accepts_body_parts: bool = False
-    identity: BackendIdentity | None = None
 
 
 class Announce(msgspec.Struct, array_like=True, tag=1):
--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -177,14 +177,6 @@
         return not is_known or self.born_ms == other.born_ms
 
 
-@dataclass(frozen=True, slots=True)
-class BackendIdentity:
-    """The service that a backend server instance has stated."""
-
-    instance: Annotated[InstanceId, _Name]
-    service: Annotated[ServiceId, _Name]
-
-
 class BackendPhase(Enum):
     """State of a backend server, as the node beside it knows it."""
 
--- a/packages/forwarding/bilberryrail/forwarding/run_memory.py
+++ b/packages/forwarding/bilberryrail/forwarding/run_memory.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from bilberryrail.core.ids import NodeId
-from bilberryrail.forwarding.records import BackendIdentity, Peer
+from bilberryrail.forwarding.records import Peer
 from bilberryrail.forwarding.run_statements import KnownRun
 
 
@@ -18,13 +18,10 @@
     ----------
     by_node
         Runs that state a limit or have left, by the node beside them.
-    identities
-        Instances announced last, by the node beside them.
     """
 
     def __init__(self) -> None:
         self.by_node: dict[NodeId, KnownRun] = {}
-        self.identities: dict[NodeId, BackendIdentity] = {}
 
     def limit_reported(self, peer: Peer, rate_limit: float | None) -> None:
         """Apply the limit in a load report.
@@ -44,10 +41,6 @@
     def announced(self, peer: Peer) -> None:
         """Apply an announcement: a departure, or another run."""
         known = self._known(peer)
-        if peer.instance:
-            self.identities[peer.node] = BackendIdentity(
-                peer.instance, peer.service
-            )
         if peer.backend_departed:
             self.by_node[peer.node] = replace(known, has_departed=True)
         elif peer.instance and known == KnownRun(peer.run):
@@ -56,7 +49,6 @@
     def forget(self, node: NodeId) -> None:
         """Drop what is known of a node that has been replaced."""
         self.by_node.pop(node, None)
-        self.identities.pop(node, None)
 
     def _known(self, peer: Peer) -> KnownRun:
         """Return what is known of the run that a node announces."""
--- a/packages/forwarding/bilberryrail/forwarding/run_statements.py
+++ b/packages/forwarding/bilberryrail/forwarding/run_statements.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from bilberryrail.core.ids import Seconds, ServiceId
+from bilberryrail.core.ids import Seconds
 from bilberryrail.forwarding.bounds import Rate
 from bilberryrail.forwarding.load_report import Notice
 from bilberryrail.forwarding.records import BackendRun, InstanceId
@@ -53,8 +53,6 @@
         milliseconds) of the run that did so; zero if it is not known.
     recalled
         What other nodes have told about instances.
-    services
-        Services that instances have stated, here or to another node.
     """
 
     def __init__(self) -> None:
@@ -63,7 +61,6 @@
         self.rate = StatedRate()
         self.departed: dict[InstanceId, int] = {}
         self.recalled: dict[InstanceId, KnownRun] = {}
-        self.services: dict[InstanceId, ServiceId] = {}
 
     @property
     def known_rate_limit(self) -> float | None:
@@ -92,11 +89,6 @@
         _limit_size(self.recalled)
         self._apply_recalled(now)
 
-    def service_stated(self, instance: InstanceId, service: ServiceId) -> None:
-        """Record the service of an instance, which never changes."""
-        self.services[instance] = service
-        _limit_size(self.services)
-
     def left(self, run: BackendRun) -> None:
         """Record that a run has announced or stated its departure."""
         before_ms = self.departed.get(run.instance, 0)
--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -44,6 +44,9 @@
     health_fresh_s
         Age up to which a health check shows that a backend server is warm, in
         seconds.
+    address_reuse_s
+        Shortest time from the end of a backend server until its address may
+        belong to one of another service, in seconds.
     """
 
     slot_share: float = 0.8
@@ -51,6 +54,7 @@
     cold_factor: float = 1.5
     cold_slack: float = 5.0
     health_fresh_s: float = 0.4
+    address_reuse_s: float = 2.0
 
 
 class HedgeSettings(msgspec.Struct, frozen=True):
--- a/packages/gateway/bilberryrail/gateway/health_checker.py
+++ b/packages/gateway/bilberryrail/gateway/health_checker.py
@@ -105,7 +105,9 @@
             backend.service_time.reported_slowdown.health_check_answered(took_s)
             result = self.dialect.health(raw.status, tuple(raw.headers))
         self.is_running = False
-        backend.health_checked(result, Seconds(self.reactor.seconds()))
+        backend.health_checked(
+            result, Seconds(self.reactor.seconds()), Seconds(began_at)
+        )
         self._pass_on_notice(result)
         if backend.down != was_down or backend.instance != instance:
             self.log(
--- a/packages/gateway/bilberryrail/gateway/message_router.py
+++ b/packages/gateway/bilberryrail/gateway/message_router.py
@@ -11,6 +11,7 @@
     Peer,
     Refusal,
 )
+from bilberryrail.forwarding.run_statements import KnownRun
 from bilberryrail.forwarding.target import Reply, Target
 from bilberryrail.forwarding.work_queue import Work
 from bilberryrail.gateway.backend_pool import BackendPool
@@ -108,7 +109,6 @@
             known=self.presence.candidates.runs.by_node.get(expected),
             crashes=self.ports.target.quarantine.ledger.evidence(),
             accepts_body_parts=True,
-            identity=self.presence.candidates.runs.identities.get(expected),
         )
 
     def received(self, link: Link, message: messages.Message) -> None:
@@ -127,9 +127,9 @@
                 link.send(messages.Pong(self.ports.target.load()))
             case messages.Announce(peer=peer):
                 self.presence.announcement_received(link.peer, peer)
-            case messages.Hello(peer=peer, crashes=crashes):
+            case messages.Hello(peer=peer, known=known, crashes=crashes):
                 self.presence.merge_announcements([peer])
-                self._recall(message)
+                self._recall(known)
                 self.presence.on_crashes(crashes, ())
             case messages.Nodes(peers=peers):
                 self.presence.merge_announcements(peers)
@@ -193,16 +193,13 @@
             )
             self.ports.ingress.refused(node, refusal)
 
-    def _recall(self, hello: messages.Hello) -> None:
+    def _recall(self, known: KnownRun | None) -> None:
         """Apply what a peer knows that this node's backend server has stated.
 
         This node may have restarted since.
         """
-        backend = self.ports.target.backend
-        if hello.identity is not None:
-            backend.identity_told(hello.identity)
-        if hello.known is not None:
-            backend.recall(hello.known, Seconds(self.clock.seconds()))
-        if hello.identity is not None or hello.known is not None:
+        if known is not None:
+            now = Seconds(self.clock.seconds())
+            self.ports.target.backend.recall(known, now)
             self.presence.refresh()
             self.ports.target.process_queue()
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -5,6 +5,7 @@
 from random import Random, SystemRandom
 from typing import Any, Final
 
+from bilberryrail.core.ids import Seconds
 from bilberryrail.forwarding.backend import Backend
 from bilberryrail.forwarding.crash_ledger import CrashLedger
 from bilberryrail.forwarding.ingress import Ingress
@@ -135,6 +136,10 @@
             service=self.settings.service,
             zone=self.settings.zone,
         )
+        # The platform starts a process with the settings that apply then.
+        self.backend.address.seen(
+            self.settings.service, Seconds(self.reactor.seconds())
+        )
         self.presence.apply_membership()
         self.follower.start()
         self.announcer.start()
@@ -309,6 +314,7 @@
             self.pool.change_address(address)
             self.health.change_address(address)
         self.frontend.caller = settings.service
+        self.backend.address.reassigned(settings.service)
 
     def _operators_changed(self) -> None:
         config = self.operators.config
