--- a/packages/gateway/bilberryrail/gateway/control.py
+++ b/packages/gateway/bilberryrail/gateway/control.py
@@ -1,5 +1,6 @@
 """Answers readiness checks; receives announcements of the backend server."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, Protocol
 
@@ -10,10 +11,14 @@
 from bilberryrail.forwarding.bounds import MAX_CLOCK_LEAD_MS
 from bilberryrail.forwarding.load_report import Heartbeat
 from bilberryrail.forwarding.operators import OperatorState
-from bilberryrail.forwarding.records import HttpAnswer, HttpRequest
+from bilberryrail.forwarding.records import (
+    ClientLimits,
+    HttpAnswer,
+    HttpRequest,
+)
 from bilberryrail.gateway.dialect import Departure, Dialect
 from bilberryrail.gateway.event_log import EventLog
-from bilberryrail.gateway.http_server import Respond
+from bilberryrail.gateway.http_server import HttpServer, Respond, Service
 from bilberryrail.gateway.presence import wall_ms
 from bilberryrail.gateway.settings import GatewaySettings
 
@@ -22,6 +27,10 @@
 #: a restart of the node.
 DEPARTURE_WAIT_S: Final = 0.5
 
+#: Largest body that the platform or the backend server may send to a node, in
+#: bytes. An announcement has some 300.
+MAX_LOCAL_BODY_BYTES: Final = 65_536
+
 _OK: Final = HttpAnswer(HTTPStatus.OK, (), b'{}', is_own=True)
 _NOT_READY: Final = HttpAnswer(
     HTTPStatus.SERVICE_UNAVAILABLE,
@@ -53,6 +62,19 @@
         """
 
 
+def local_server(
+    reactor: Any, service: Service, log: Callable[..., None]
+) -> HttpServer:
+    """Build a server for the platform and the backend server.
+
+    Its limits are not those of the configuration, which apply to clients. A
+    faulty backend server may send announcements without end.
+    """
+    server = HttpServer(reactor, service, log)
+    server.limits = ClientLimits(body_bytes=MAX_LOCAL_BODY_BYTES)
+    return server
+
+
 class ReadyService:
     """Answers the readiness checks of the platform."""
 
--- a/packages/gateway/bilberryrail/gateway/control_test.py
+++ b/packages/gateway/bilberryrail/gateway/control_test.py
@@ -21,14 +21,17 @@
 )
 from bilberryrail.gateway.control import (
     DEPARTURE_WAIT_S,
+    MAX_LOCAL_BODY_BYTES,
     ControlService,
     ReadyService,
+    local_server,
 )
 from bilberryrail.gateway.dialect import Departure
-from bilberryrail.gateway.http_server_test import ignore
+from bilberryrail.gateway.http_server_test import FakeTransport, ignore
 from bilberryrail.gateway.presence import wall_ms
 
 ADDRESS = '10.0.0.1:80'
+START = b'PUT /i1 HTTP/1.1\r\nHost: a\r\n'
 REQUEST = HttpRequest(b'PUT', b'/i1', (), b'')
 
 
@@ -173,3 +176,34 @@
     assert owner.announce(heartbeat(born_ms=later_ms)) == [400]
     assert owner.announce(heartbeat()) == [200]
     assert owner.backend.instance == 'i1'
+
+
+@pytest.mark.parametrize(
+    'head',
+    [b'Content-Length: 9000000\r\n\r\n', b'Transfer-Encoding: chunked\r\n\r\n'],
+)
+def test_announcement_without_end_is_rejected(owner, head):
+    # Guards against a faulty backend server that takes its node over its memory
+    # with the body of an announcement (issue 42, LOST).
+    server = local_server(owner.reactor, ControlService(owner), ignore)
+    connection = server.buildProtocol(None)
+    connection.makeConnection(FakeTransport())
+    connection.dataReceived(b'%b%b' % (START, head))
+    chunk = b'1000\r\n%b\r\n' % bytes(4096)
+    for _ in range(100):
+        connection.dataReceived(chunk)
+    assert b'HTTP/1.1 413' in connection.transport.value()
+    assert server.budget.large.held + server.budget.small.held == 0
+
+
+def test_usual_announcement_is_accepted(owner):
+    # Guards against limits below the size of an announcement.
+    server = local_server(owner.reactor, ControlService(owner), ignore)
+    connection = server.buildProtocol(None)
+    connection.makeConnection(FakeTransport())
+    owner.dialect.found = Departure(InstanceId('i1'))
+    body = bytes(MAX_LOCAL_BODY_BYTES - 1)
+    connection.dataReceived(START)
+    connection.dataReceived(b'Content-Length: %d\r\n\r\n' % len(body))
+    connection.dataReceived(body)
+    assert b'HTTP/1.1 200' in connection.transport.value()
--- a/packages/gateway/bilberryrail/gateway/link.py
+++ b/packages/gateway/bilberryrail/gateway/link.py
@@ -28,8 +28,12 @@
 from bilberryrail.gateway.traffic import Place, Traffic
 
 #: Largest message after Hello, in bytes; it holds the largest body of an answer,
-#: and its headers.
-MAX_MESSAGE_BYTES: Final = 100_663_296
+#: which has 32 MiB, and its headers. Large bodies of requests are sent in parts.
+MAX_MESSAGE_BYTES: Final = 34_603_008
+
+#: Size of an incomplete message, in bytes, from which the total of all links is
+#: checked.
+_LARGE_MESSAGE_BYTES: Final = 65_536
 
 #: Largest Hello, in bytes. It is the only message that is read from a peer that
 #: has not identified itself. With as many crashes as a node tells, each with as
@@ -111,6 +115,9 @@
     def link_ended(self, link: 'Link', reason: str) -> None:
         """Handle that a link has been closed."""
 
+    def large_part_received(self) -> None:
+        """Handle that an incomplete message is large."""
+
 
 class Link(MessageReceiver):
     """One connection to another node.
@@ -198,6 +205,14 @@
         """Read a part of a message; a large one may take seconds to arrive."""
         self.received_at = self.links.reactor.seconds()
         super().dataReceived(data)
+        if self.held_bytes > _LARGE_MESSAGE_BYTES:
+            self.links.large_part_received()
+
+    def reject(self, reason: str) -> None:
+        """Close the link, and release what has been read of a message."""
+        self.links.log('message_rejected', reason=reason, size=self.held_bytes)
+        self.drop_parts()
+        self.transport.abortConnection()
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Read a message; close the link if it violates the protocol."""
@@ -232,6 +247,7 @@
         self.is_up = False
         self.outgoing_bodies.clear()
         self.incoming_bodies.clear()
+        self.drop_parts()
         self.links.link_ended(self, reason.getErrorMessage())
 
     def check_silence(self, now: float) -> None:
@@ -251,7 +267,7 @@
         self.unsent = unsent
         if not self.pending:
             if now - self.pinged_at > ROUND_TRIP_INTERVAL_S:
-                self._ping(now)
+                _ping(self, now)
             return
         silence_s = now - self.received_at
         if silence_s > LOST_AFTER_S and all(self.pending.values()):
@@ -262,7 +278,7 @@
         if silence_s > SUSPECT_AFTER_S:
             self.links.events.suspected(self.expected)
         if silence_s > PING_AFTER_S and now - self.pinged_at > PING_AFTER_S:
-            self._ping(now)
+            _ping(self, now)
 
     def _refuse_body(self, message: messages.Forward) -> None:
         self.links.log(
@@ -323,10 +339,6 @@
             partial(self.links.events.received, self, message), self.links.log
         )
 
-    def _ping(self, now: float) -> None:
-        self.pinged_at = now
-        self.send(messages.Ping())
-
     def _hello_received(self, hello: messages.Hello) -> None:
         if self.peer is not None:
             return
@@ -367,3 +379,8 @@
         place = self.links.traffic.place_of(hello.peer)
         if hello.accepts_compression and place is not Place.ZONE:
             self.compressor = Compressor()
+
+
+def _ping(link: Link, now: float) -> None:
+    link.pinged_at = now
+    link.send(messages.Ping())
--- a/packages/gateway/bilberryrail/gateway/links.py
+++ b/packages/gateway/bilberryrail/gateway/links.py
@@ -49,6 +49,12 @@
 MAX_QUEUED_MESSAGES: Final = 200
 
 
+#: Maximum size of the incomplete messages of all links together, in bytes. The
+#: smallest hosts have 200 MB of memory, and a message is copied up to four times
+#: once it is complete.
+MAX_INCOMPLETE_BYTES: Final = 50_331_648
+
+
 class _LinkAcceptor(Factory):
     """Factory for the links that other nodes open."""
 
@@ -247,6 +253,10 @@
         for message in queued:
             link.send(message)
 
+    def large_part_received(self) -> None:
+        """Limit the incomplete messages of all links together."""
+        limit_memory(self)
+
     def link_ended(self, link: Link, reason: str) -> None:
         """Remove a closed link; schedule a retry for an outgoing one."""
         if link.is_outgoing:
@@ -264,7 +274,7 @@
         outgoing.is_dialing = False
         outgoing.link = None
         self.events.unreachable(node)
-        self._return_queued(node, outgoing)
+        _return_queued(self, node, outgoing)
         self._retry_later(node, outgoing)
 
     def _outgoing_ended(self, link: Link, reason: str) -> None:
@@ -279,15 +289,9 @@
             self.events.closed(link)
         else:
             self.events.unreachable(link.expected)
-        self._return_queued(link.expected, outgoing)
+        _return_queued(self, link.expected, outgoing)
         self._retry_later(link.expected, outgoing)
 
-    def _return_queued(self, node: NodeId, outgoing: OutgoingLink) -> None:
-        queued = outgoing.queued
-        outgoing.queued = []
-        for message in queued:
-            self.events.not_sent(node, message)
-
     def _open_now(self, node: NodeId, outgoing: OutgoingLink) -> None:
         """Open a link now, without waiting for its backoff to end."""
         if outgoing.link is None and not outgoing.is_dialing:
@@ -334,7 +338,7 @@
         outgoing = self.outgoing.pop(node)
         if outgoing.retry is not None and outgoing.retry.active():
             outgoing.retry.cancel()
-        self._return_queued(node, outgoing)
+        _return_queued(self, node, outgoing)
         if outgoing.link is not None:
             self.events.closed(outgoing.link)
             outgoing.link.close()
@@ -356,11 +360,35 @@
 
 def is_sending(links: Links) -> bool:
     """Return whether parts of messages have not been sent yet."""
+    return any(unsent_bytes(link.transport) for link in _open_links(links))
+
+
+def limit_memory(links: Links) -> None:
+    """Close the link with the largest incomplete message beyond the limit.
+
+    A faulty peer may send bytes without end, or many may send large answers at
+    once. Without a limit, the process would exceed its memory.
+    """
+    found = _open_links(links)
+    total = sum(link.held_bytes for link in found)
+    if total > MAX_INCOMPLETE_BYTES:
+        largest = max(found, key=lambda link: link.held_bytes)
+        largest.reject(f'incomplete messages total {total} bytes')
+
+
+def _open_links(links: Links) -> list[Link]:
+    """Return the links in both directions that are not being opened."""
     dialled = (outgoing.link for outgoing in links.outgoing.values())
-    return any(
-        link is not None and unsent_bytes(link.transport)
-        for link in (*links.incoming.values(), *dialled)
-    )
+    established = [link for link in dialled if link is not None]
+    return [*links.incoming.values(), *established]
+
+
+def _return_queued(links: Links, node: NodeId, outgoing: OutgoingLink) -> None:
+    """Return the messages that wait for a link that cannot be opened."""
+    queued = outgoing.queued
+    outgoing.queued = []
+    for message in queued:
+        links.events.not_sent(node, message)
 
 
 def choose_persistent(
--- a/packages/gateway/bilberryrail/gateway/links_test.py
+++ b/packages/gateway/bilberryrail/gateway/links_test.py
@@ -10,17 +10,19 @@
 from bilberryrail.core.ids import NodeId, RegionId
 from bilberryrail.forwarding import messages
 from bilberryrail.forwarding.fixtures_test import forward, peer
-from bilberryrail.forwarding.records import BackendLoad
+from bilberryrail.forwarding.records import BackendLoad, HttpAnswer
+from bilberryrail.gateway.backend_pool import MAX_BUFFERED_BYTES
 from bilberryrail.gateway.compression import COMPRESSED_MARK
 from bilberryrail.gateway.http_server_test import FakeTransport, ignore
 from bilberryrail.gateway.link import (
     HELLO_TIMEOUT_S,
     LOST_AFTER_S,
     MAX_HELLO_BYTES,
+    MAX_MESSAGE_BYTES,
     ROUND_TRIP_INTERVAL_S,
     Link,
 )
-from bilberryrail.gateway.links import Links
+from bilberryrail.gateway.links import MAX_INCOMPLETE_BYTES, Links
 from bilberryrail.gateway.memory_budget import MemoryBudget
 from bilberryrail.gateway.metrics import Metrics
 from bilberryrail.gateway.traffic import Traffic
@@ -115,6 +117,70 @@
     return Bench()
 
 
+def send_endless(links, part_bytes=65_536, total=200_000_000):
+    """Send parts of messages that never end; return the most that was held."""
+    most = 0
+    for opened in links:
+        opened.dataReceived(MAX_MESSAGE_BYTES.to_bytes(4))
+    for _ in repeat(None, total // part_bytes // len(links)):
+        for link in links:
+            if not link.transport.disconnecting:
+                link.dataReceived(bytes(part_bytes))
+        most = max(most, sum(one.held_bytes for one in links))
+    return most
+
+
+def test_endless_messages_of_several_peers_are_limited_together(bench):
+    # Guards against faulty peers whose bytes take a node over its memory, each
+    # below the limit for one message (issue 42, LOST).
+    faulty = [
+        bench.accept(messages.Hello(peer(f'n{number}'), 'n1'))
+        for number in range(2, 8)
+    ]
+    sound = bench.accept(messages.Hello(peer('n9'), 'n1'))
+    assert send_endless(faulty) < MAX_INCOMPLETE_BYTES * 1.1
+    assert any(link.transport.disconnecting for link in faulty)
+    assert not sound.transport.disconnecting
+    bench.deliver(sound, forward(1))
+    assert bench.events.log[-1] == ('received', 'n9', 'Forward')
+
+
+def test_rejected_message_leaves_no_bytes_behind(bench):
+    # Guards against a closed link whose bytes stay in memory until the garbage
+    # collector runs.
+    links = [bench.dial(), bench.accept(messages.Hello(peer('n3'), 'n1'))]
+    send_endless(links)
+    closed = [link for link in links if link.transport.disconnecting]
+    assert closed
+    assert not any(link.parts for link in closed)
+
+
+def test_lost_link_leaves_no_bytes_behind(bench):
+    # Guards against the part of a message of a peer that has ended, which stays
+    # in memory until the garbage collector runs.
+    link = bench.accept(messages.Hello(peer('n2'), 'n1'))
+    send_endless([link], total=10_000_000)
+    link.connectionLost(LOST)
+    assert not link.parts
+
+
+def test_message_for_which_there_is_no_memory_is_rejected_at_once(bench):
+    # Guards against reading a message up to a length that is never completed.
+    link = bench.accept(messages.Hello(peer('n2'), 'n1'))
+    link.dataReceived((MAX_MESSAGE_BYTES + 1).to_bytes(4))
+    assert link.transport.disconnecting
+
+
+def test_largest_answer_fits_into_a_message(bench):
+    # Guards against a limit below the answers that a node accepts.
+    link = bench.dial()
+    answer = HttpAnswer(
+        200, ((b'X', bytes(60_000)),), bytes(MAX_BUFFERED_BYTES)
+    )
+    bench.deliver(link, messages.Answered(1, answer, BackendLoad()))
+    assert bench.events.log[-1] == ('received', 'n2', 'Answered')
+
+
 def test_hello_for_another_node_replaces_no_link(bench):
     # Guards against a peer that looks for the former owner of this address
     # and thereby closes the link on which its own requests are in flight.
--- a/packages/gateway/bilberryrail/gateway/process.py
+++ b/packages/gateway/bilberryrail/gateway/process.py
@@ -19,7 +19,11 @@
 from bilberryrail.forwarding.target import Target
 from bilberryrail.gateway.announcer import Announcer
 from bilberryrail.gateway.backend_pool import BackendPool
-from bilberryrail.gateway.control import ControlService, ReadyService
+from bilberryrail.gateway.control import (
+    ControlService,
+    ReadyService,
+    local_server,
+)
 from bilberryrail.gateway.crash_reports import CrashReports
 from bilberryrail.gateway.decision_log import DecisionLog
 from bilberryrail.gateway.dialect import Dialect
@@ -128,7 +132,7 @@
             (listen.control, ControlService(self)),
             (listen.metrics, MetricsService(self.metrics)),
         ):
-            server = HttpServer(self.reactor, service, self.log.process)
+            server = local_server(self.reactor, service, self.log.process)
             self._listen(address, server)
         self.log.process(
             'start',
