Abort a connection whose answer came before the whole body was written

Cause: the memory of a body counts as free once its request has an answer, but the connection was closed only after the whole body was written. A backend server that reads on later, or never, kept the body in memory, and no limit counted it.

Change: the connection is aborted. The answer is complete, and nobody needs the rest of the body.

--- a/packages/gateway/bilberryrail/gateway/backend_pool.py
+++ b/packages/gateway/bilberryrail/gateway/backend_pool.py
@@ -192,12 +192,17 @@
         """Return the connection to the pool if it is reusable, or close it.
 
         It is closed after an answer that names no request, since a late copy of
-        that answer could not be told from the answer to the next request, and
-        after one that arrived before the whole body was written.
+        that answer could not be told from the answer to the next request. After
+        one that arrived before the whole body was written it is aborted: the
+        body would stay in memory until the backend server has read it, which
+        may never be, and no limit counts it any more.
         """
-        has_rest = self.reader.current is not None or self.writing.is_active
+        has_rest = self.reader.current is not None
         self.work = None
         self._close_reader()
+        if self.writing.is_active:
+            self.transport.abortConnection()
+            return
         if has_rest or not is_reusable or not raw.keeps_alive:
             self.transport.loseConnection()
             return
--- a/packages/gateway/bilberryrail/gateway/uploads_test.py
+++ b/packages/gateway/bilberryrail/gateway/uploads_test.py
@@ -329,6 +329,17 @@
     assert bench.pool.idle == [connection]
 
 
+def test_body_is_released_after_an_early_answer():
+    # Guards against uploads that a backend server rejects early: their memory
+    # counted as free, while the connections kept the bodies until the backend
+    # server read on (LOST, review/7).
+    bench = PoolBench()
+    connection = upload_to_backend(bench)
+    connection.dataReceived(answer())
+    assert connection.transport.disconnected
+    assert bench.target.outcomes == [(1, b'body')]
+
+
 def test_connection_with_a_rest_of_a_body_is_not_reused():
     # Guards against a request whose bytes go between the parts of a body: a
     # backend server may answer before it has read the body.
