Let clients pause reading for as long as they may be idle

Cause: TCP_USER_TIMEOUT was 4 s on all connections. Linux also counts the time for which the window of the peer is closed, although its host acknowledges each probe. check_idle, which gives clients the idle timeout of the operators, never got that far.

Change: on connections of clients, which are on the same host, the limit is that idle timeout.

--- a/packages/gateway/bilberryrail/gateway/http_server.py
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -31,6 +31,8 @@
 #: Interval at which connections are checked for idleness, in seconds.
 IDLE_CHECK_S: Final = 1.0
 
+_MS_PER_S: Final = 1000
+
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 Respond = Callable[[HttpAnswer], None]
@@ -119,8 +121,13 @@
         self.lingering = LingeringClose(server.reactor, self.activity)
 
     def connectionMade(self) -> None:  # noqa: N802
-        """Register the connection."""
-        sockets.configure_socket(self.transport)
+        """Register the connection.
+
+        A client may pause reading for as long as it may be idle; after that,
+        ``check_idle`` closes the connection.
+        """
+        idle_timeout_ms = self.server.limits.idle_timeout_s * _MS_PER_S
+        sockets.configure_socket(self.transport, int(idle_timeout_ms))
         self.host = self.transport.getPeer().host
         self.activity.seen()
         self.server.connections.add(self)
--- a/packages/gateway/bilberryrail/gateway/http_server_test.py
+++ b/packages/gateway/bilberryrail/gateway/http_server_test.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server: order of answers, limits and closing."""
 
+import socket
 import weakref
 from functools import partial
 from itertools import repeat
@@ -155,6 +156,18 @@
     assert bench.written() == before
 
 
+def test_client_may_pause_reading_for_the_idle_timeout(bench):
+    # Guards against a connection that the kernel resets in the middle of an
+    # answer, because its client reads nothing for some seconds (LOST, review/9).
+    options = {}
+    bench.transport.setsockopt = lambda _, name, limit: options.update(
+        {name: limit}
+    )
+    bench.server.limits = ClientLimits(idle_timeout_s=7)
+    bench.connection.makeConnection(bench.transport)
+    assert options[socket.TCP_USER_TIMEOUT] == 7000
+
+
 def test_requested_close_comes_after_the_answer(bench):
     # Guards against closing a connection before its last answer.
     bench.send(get(b'/1', b'Connection: close\r\n'))
--- a/packages/gateway/bilberryrail/gateway/sockets.py
+++ b/packages/gateway/bilberryrail/gateway/sockets.py
@@ -16,8 +16,18 @@
 USER_TIMEOUT_MS: Final = 4000
 
 
-def configure_socket(transport: Any) -> None:
-    """Disable Nagle's algorithm; reset the connection to a silent peer."""
+def configure_socket(
+    transport: Any, user_timeout_ms: int = USER_TIMEOUT_MS
+) -> None:
+    """Disable Nagle's algorithm; reset the connection to a silent peer.
+
+    Parameters
+    ----------
+    user_timeout_ms
+        Longest time for which sent bytes may remain unacknowledged, in
+        milliseconds. Linux also counts the time for which the peer reads
+        nothing, although its host acknowledges each probe.
+    """
     transport.setTcpNoDelay(True)
     transport.setTcpKeepAlive(True)
     handle = transport.getHandle()
@@ -25,7 +35,7 @@
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+        (socket.TCP_USER_TIMEOUT, user_timeout_ms),
     )
     for option, limit in options:
         handle.setsockopt(socket.IPPROTO_TCP, option, limit)
