Ignore offers to change the protocol, and read the body behind them

Found while tracing: with a body, it was passed on without the body, and the body was parsed as what follows.

Cause: the parser reports a request with an offer as complete behind its head, also if a body follows, and then raises HttpParserUpgrade. The request had been served by then, and the error was answered too.

Change: the head is parsed again without the offer, together with what follows. A request for a tunnel is answered 400, once.

--- a/packages/gateway/bilberryrail/gateway/http_server.py
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -19,7 +19,11 @@
 from bilberryrail.gateway import sockets
 from bilberryrail.gateway.activity import Activity, LingeringClose
 from bilberryrail.gateway.framing import Framing, FramingError
-from bilberryrail.gateway.http_text import answer_bytes, end_to_end
+from bilberryrail.gateway.http_text import (
+    answer_bytes,
+    end_to_end,
+    head_without_offer,
+)
 from bilberryrail.gateway.memory_budget import MemoryBudget, Reservation
 from bilberryrail.gateway.request_body import RequestBody, stated_length
 from bilberryrail.gateway.tasks import PeriodicTask, log_failure
@@ -143,9 +147,7 @@
         if not self.has_head:
             self.head_size += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(HTTPStatus.BAD_REQUEST)
+            self._parse(data)
         except httptools.HttpParserError as error:
             if not self.is_ending:
                 self.server.log('bad_request', reason=str(error))
@@ -187,7 +189,7 @@
         """Reserve memory for the body, and ask for it if the client waits."""
         self.has_head = True
         self.head_size = 0
-        if self.is_ending:
+        if self.is_ending or self.parser.should_upgrade():
             return
         size = stated_length(self.headers, self.server.limits.body_bytes)
         if not self.body.reserve(size):
@@ -207,14 +209,18 @@
             self._refuse_body(size)
 
     def on_message_complete(self) -> None:
-        """Serve a complete request."""
+        """Serve a complete request; ``_parse`` reads one with an offer again."""
+        method = self.parser.get_method()
+        if self.parser.should_upgrade() and not self.is_ending:
+            if method == b'CONNECT':
+                self._reject(HTTPStatus.BAD_REQUEST)
+            return
         self.is_reading = False
         if self.is_ending:
             return
         if self.framing.body_bytes > self.server.limits.body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
-        method = self.parser.get_method()
         slot = Slot(
             is_head=method == b'HEAD',
             closes=not self.parser.should_keep_alive(),
@@ -257,6 +263,24 @@
         elif idle_s > limits.idle_timeout_s:
             self._end()
 
+    def _parse(self, received: bytes) -> None:
+        """Parse requests; offers to change the protocol are ignored.
+
+        The parser stops behind a head with such an offer, also if a body
+        follows. The head is parsed again without the offer.
+        """
+        while received and not self.is_ending:
+            try:
+                self.parser.feed_data(received)
+            except httptools.HttpParserUpgrade as upgrade:
+                head = head_without_offer(
+                    self.parser.get_method(), self.target, self.headers
+                )
+                received = head + received[upgrade.args[0] :]
+                self.parser = httptools.HttpRequestParser(self)
+            else:
+                return
+
     def _serve(self, slot: Slot, request: HttpRequest) -> None:
         def respond(answer: HttpAnswer) -> None:  # noqa: WPS430
             slot.answer = answer
@@ -300,6 +324,7 @@
             self.transport.resumeProducing()
 
     def _check_sizes(self, received: int) -> None:
+        """Reject a head, a body, or its framing and trailers that is too large."""
         limits = self.server.limits
         if self.is_ending:
             return
@@ -309,15 +334,11 @@
         elif self.framing.body_bytes > limits.body_bytes:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         elif self.is_reading:
-            self._check_framing(received)
-
-    def _check_framing(self, received: int) -> None:
-        """Reject a body with too many bytes of chunk framing or trailers."""
-        try:
-            self.framing.received(received)
-        except FramingError as error:
-            self.server.log('bad_request', reason=str(error))
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            try:
+                self.framing.received(received)
+            except FramingError as error:
+                self.server.log('bad_request', reason=str(error))
+                self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
     def _refuse_body(self, size: int) -> None:
         """Refuse the request whose body exceeds the budget at a size."""
--- a/packages/gateway/bilberryrail/gateway/http_server_test.py
+++ b/packages/gateway/bilberryrail/gateway/http_server_test.py
@@ -156,6 +156,68 @@
     assert bench.written() == before
 
 
+SMUGGLED = b'GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n'
+UPGRADE = b'Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n'
+
+
+@pytest.mark.parametrize('is_split', [False, True])
+def test_offer_to_change_the_protocol_is_ignored(bench, is_split):
+    # Guards against a request that is answered twice because it offers another
+    # protocol: the client takes the second answer, 400, for that to the request
+    # behind it (DENIED and MIXED, review/10).
+    requests = get(b'/1', UPGRADE) + get(b'/2') + get(b'/3', UPGRADE)
+    size = 1 if is_split else len(requests)
+    bench.send(
+        *(requests[at : at + size] for at in range(0, len(requests), size))
+    )
+    targets = [one.target for one in bench.service.requests]
+    assert targets == [b'/1', b'/2', b'/3']
+    for respond in bench.service.responds:
+        respond(HttpAnswer(200))
+    assert bench.written().count(b'HTTP/1.1 200 ') == 3
+    assert b' 400 ' not in bench.written()
+    names = [name for name, _ in bench.service.requests[0].headers]
+    assert names == [b'Host']
+
+
+def test_request_with_a_body_and_an_offer_is_served_whole(bench):
+    # Guards against a body that is dropped, or taken for the next request: the
+    # parser stops behind a head with an offer.
+    length = b'Content-Length: %d\r\n\r\n' % len(SMUGGLED)
+    encoding = b'Transfer-Encoding: chunked\r\n\r\n'
+    chunk = b'%x\r\n%b\r\n0\r\n\r\n' % (len(SMUGGLED), SMUGGLED)
+    for rest in (length + SMUGGLED, encoding + chunk):
+        head = b'POST /1 HTTP/1.1\r\nHost: a\r\n%b' % UPGRADE
+        bench.send(head + rest + get(b'/2'))
+    bodies = [one.body for one in bench.service.requests]
+    assert bodies == [SMUGGLED, b'', SMUGGLED, b'']
+
+
+def test_offer_with_two_lengths_is_not_served(bench):
+    # Guards against request smuggling behind an offer.
+    bench.send(
+        b'POST / HTTP/1.1\r\nHost: a\r\n%bContent-Length: 4\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n%b' % (UPGRADE, SMUGGLED)
+    )
+    assert not bench.service.requests
+    assert bench.written().startswith(b'HTTP/1.1 400')
+
+
+def test_requested_close_beside_an_offer_is_kept(bench):
+    # Guards against a connection that stays open although the client wants to
+    # close it.
+    bench.send(get(b'/1', b'Connection: Upgrade, close\r\nUpgrade: h2c\r\n'))
+    bench.service.responds[0](HttpAnswer(200))
+    assert bench.transport.half_closed
+
+
+def test_request_for_a_tunnel_is_answered_once(bench):
+    # Guards against a second answer to a request that is not served.
+    bench.send(b'CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n', get(b'/2'))
+    assert bench.written().count(b'HTTP/1.1 400 ') == 1
+    assert not bench.service.requests
+
+
 def test_client_may_pause_reading_for_the_idle_timeout(bench):
     # Guards against a connection that the kernel resets in the middle of an
     # answer, because its client reads nothing for some seconds (LOST, review/9).
--- a/packages/gateway/bilberryrail/gateway/http_text.py
+++ b/packages/gateway/bilberryrail/gateway/http_text.py
@@ -66,6 +66,27 @@
     return b'\r\n'.join([*lines, b'', b''])
 
 
+def head_without_offer(
+    method: bytes, target: bytes, headers: list[Header]
+) -> bytes:
+    """Format the head of a request without its offer of another protocol.
+
+    A server may ignore such an offer (RFC 9110, section 7.8).
+    """
+    lines = [b'%b %b HTTP/1.1' % (method, target)]
+    for name, text in headers:
+        match name.lower():
+            case b'upgrade':
+                continue
+            case b'connection':
+                options = [word.strip() for word in text.split(b',')]
+                kept = [word for word in options if word.lower() != b'upgrade']
+                lines.append(b'%b: %b' % (name, b', '.join(kept)))
+            case _:
+                lines.append(b'%b: %b' % (name, text))
+    return b'\r\n'.join([*lines, b'', b''])
+
+
 def answer_bytes(
     answer: HttpAnswer,
     *,
