Give addresses to backend servers of other services in the soak

Scenario `reuse` ends backend servers of real nodes and starts ones of the other service at their addresses 2 to 4 s later, with a first heartbeat that is up to 2.5 s late. The settings of the nodes do not change, so that nodes cannot rely on them. The new check `route` holds in all scenarios: requests of a route with one service are run by that service only.

--- a/packages/soak/bilberryrail/soak/__main__.py
+++ b/packages/soak/bilberryrail/soak/__main__.py
@@ -26,7 +26,9 @@
     ] = 20.0,
     scenario: Annotated[
         str,
-        typer.Option(help='What happens: faults, stops, silence or uploads.'),
+        typer.Option(
+            help='What happens: faults, stops, silence, uploads or reuse.'
+        ),
     ] = 'faults',
 ) -> None:
     """Run soaks with consecutive seeds and report violated guarantees."""
--- a/packages/soak/bilberryrail/soak/checkers.py
+++ b/packages/soak/bilberryrail/soak/checkers.py
@@ -147,6 +147,9 @@
         stops; None if there are others.
     added_routes
         Routes that the configuration has got after the start.
+    services
+        Only service that may run a request, by the path prefix of its route;
+        a route without an entry is shared by several.
     memory_bytes
         Largest resident memory of the processes of each node.
     """
@@ -167,6 +170,7 @@
     stops: list[tuple[float, str]] = field(default_factory=list)
     patience_s: float | None = None
     added_routes: list[AddedRoute] = field(default_factory=list)
+    services: dict[str, str] = field(default_factory=dict)
     memory_bytes: dict[str, int] = field(default_factory=dict)
 
 
@@ -179,6 +183,7 @@
             _truthful_refusals,
             _complete_answers,
             _unchanged_requests,
+            _services_respected,
             _departures_respected,
             _zones_out_respected,
             _home_zones_respected,
@@ -231,6 +236,14 @@
             yield f'caller: {run.request_id} of {caller} ran as {run.caller}'
 
 
+def _services_respected(observations: Observations) -> Iterator[str]:
+    for run in observations.runs:
+        for prefix, service in observations.services.items():
+            is_route = run.target.startswith(prefix.encode())
+            if is_route and run.service != service:
+                yield f'route: {run.request_id} for {service} ran at {run.service}'
+
+
 def _departures_respected(observations: Observations) -> Iterator[str]:
     departed_at: dict[str, float] = {}
     for departure in observations.departures:
--- a/packages/soak/bilberryrail/soak/checkers_test.py
+++ b/packages/soak/bilberryrail/soak/checkers_test.py
@@ -67,6 +67,14 @@
     return [line.partition(':')[0] for line in violations(found)]
 
 
+def test_run_at_another_service_is_found():
+    # Guards against a soak that does not notice requests at a reused address.
+    runs = [run(target=b'/status/1'), run(target=b'/book/1')]
+    services = {'/status/': 'desk', '/home/': 'desk'}
+    assert violation_kinds(observe(runs, services=services)) == ['route']
+    assert not violation_kinds(observe(runs, services={'/status/': 'board'}))
+
+
 def crashing_runs(count):
     return [
         run(f'n0/crash-{number}', at=10 + number, target=b'/status/crash-0')
--- a/packages/soak/bilberryrail/soak/fleet.py
+++ b/packages/soak/bilberryrail/soak/fleet.py
@@ -152,6 +152,7 @@
         self.observations.home_zones[topology.HOME_BOOKING.prefix] = frozenset(
             host.zone for host in hosts if host.region == topology.HOME_REGION
         )
+        self.observations.services.update(topology.ONLY_SERVICES)
         self.log = LogService(reactor)
         self.nodes = {host.name: NodeProcess(host, folder) for host in hosts}
         self.link_proxies: dict[str, Proxy] = {}
--- a/packages/soak/bilberryrail/soak/regression_test.py
+++ b/packages/soak/bilberryrail/soak/regression_test.py
@@ -63,3 +63,10 @@
     # Guards against nodes that notice only after 12 s that their connections to
     # the store stay open and carry nothing more.
     run_soak(120, 8, 'silence')
+
+
+@pytest.mark.timeout(120)
+def test_reused_addresses_get_no_request_of_the_service_before():
+    # Guards against requests that are run by a backend server of another service
+    # that has got the address of one that has ended (issue 42).
+    run_soak(160, 12, 'reuse')
--- a/packages/soak/bilberryrail/soak/run.py
+++ b/packages/soak/bilberryrail/soak/run.py
@@ -23,6 +23,7 @@
     PlannedStopDriver,
 )
 from bilberryrail.soak.restores import RestoreDriver
+from bilberryrail.soak.reused_addresses import ReusedAddressDriver
 from bilberryrail.soak.silent_store import SilentStoreDriver
 from bilberryrail.soak.statements import StatementDriver
 from bilberryrail.soak.uploads import UploadDriver
@@ -49,6 +50,8 @@
     SILENCE = 'silence'
     #: Only several large bodies at once.
     UPLOADS = 'uploads'
+    #: Only backend servers that get the addresses of others.
+    REUSE = 'reuse'
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +134,7 @@
         self.stops = PlannedStopDriver(reactor, settings.seed, self.fleet)
         self.silence = SilentStoreDriver(reactor, settings.seed, self.fleet)
         self.uploads = UploadDriver(reactor, settings.seed, self.fleet)
+        self.reuse = ReusedAddressDriver(reactor, settings.seed, self.fleet)
         self.started_at: float = 0
 
     def run(self) -> Any:
@@ -163,6 +167,8 @@
                 await self.silence.run(ends_at)
             case Scenario.UPLOADS:
                 await self.uploads.run(ends_at)
+            case Scenario.REUSE:
+                await self.reuse.run(ends_at)
         await deferLater(self.reactor, RECOVERY_S)
         now = self.reactor.seconds()
         for caller in self.fleet.callers:
@@ -201,6 +207,7 @@
             self.stops,
             self.silence,
             self.uploads,
+            self.reuse,
         )
         return SoakReport(
             seed=self.settings.seed,
--- a/packages/soak/bilberryrail/soak/topology.py
+++ b/packages/soak/bilberryrail/soak/topology.py
@@ -40,6 +40,14 @@
 ROUTES: Final = (LOOKUP, BOOKING, HOME_BOOKING)
 #: Path prefix of the route that shows which version is in force on a node.
 VERSION_PREFIX: Final = '/version/'
+#: Only service that may run a request, by the path prefix of its route.
+ONLY_SERVICES: Final = MappingProxyType(
+    {
+        LOOKUP.prefix: 'board',
+        VERSION_PREFIX: 'board',
+        HOME_BOOKING.prefix: 'desk',
+    }
+)
 
 #: Number of loopback networks; seeds that differ by less do not share one.
 _NETWORKS: Final = 200
