Announce an instance also before its service is known

Nodes no longer remember services of instances, and a departure before the first heartbeat was announced and stored without its instance: a node that restarted then would have used the instance again (DRAIN; found by reading).

Change: the announcement names the instance in any state, as before. A state that is not ready keeps requests away.

Evidence: test_departure_before_the_first_heartbeat_is_announced fails on the code before. test_instance_of_an_unknown_service_is_not_announced checked the empty name; it checks now that the node does not announce itself as ready, which is what it guards against.

--- a/packages/forwarding/bilberryrail/forwarding/records.py
+++ b/packages/forwarding/bilberryrail/forwarding/records.py
@@ -234,8 +234,7 @@
     serial
         Number that grows with each change within an incarnation.
     instance
-        Backend server beside the node; empty if there is none, or if its
-        service is not known yet.
+        Backend server beside the node; empty if there is none.
     leaving
         Whether the node is shutting down.
     born_ms
--- a/packages/gateway/bilberryrail/gateway/presence.py
+++ b/packages/gateway/bilberryrail/gateway/presence.py
@@ -117,9 +117,7 @@
         if self.is_leaving:
             phase = BackendPhase.DRAINING
         service = self.backend.service or own.service
-        instance = InstanceId('')
-        if self.backend.service is not None and self.backend.instance:
-            instance = self.backend.instance
+        instance = self.backend.instance or InstanceId('')
         departed = self.backend.phase is BackendPhase.DRAINING
         announced = replace(
             own,
