--- a/packages/gateway/bilberryrail/gateway/http_server.py
+++ b/packages/gateway/bilberryrail/gateway/http_server.py
@@ -273,9 +273,12 @@
             try:
                 self.parser.feed_data(received)
             except httptools.HttpParserUpgrade as upgrade:
-                head = head_without_offer(
-                    self.parser.get_method(), self.target, self.headers
+                start = b'%b %b HTTP/%b' % (
+                    self.parser.get_method(),
+                    self.target,
+                    self.parser.get_http_version().encode(),
                 )
+                head = head_without_offer(start, self.headers)
                 received = head + received[upgrade.args[0] :]
                 self.parser = httptools.HttpRequestParser(self)
             else:
--- a/packages/gateway/bilberryrail/gateway/http_server_test.py
+++ b/packages/gateway/bilberryrail/gateway/http_server_test.py
@@ -267,6 +267,14 @@
     assert bench.written().startswith(b'HTTP/1.1 408')
 
 
+def test_client_of_an_earlier_version_with_an_offer_is_closed(bench):
+    # Guards against a client of HTTP/1.0 that waits for the end of its
+    # connection, because its request was read again as one of HTTP/1.1.
+    bench.send(b'GET /1 HTTP/1.0\r\nHost: a\r\n%b\r\n' % UPGRADE)
+    bench.service.responds[0](HttpAnswer(200))
+    assert bench.transport.half_closed
+
+
 @pytest.mark.parametrize(
     ('payload', 'status'),
     [
--- a/packages/gateway/bilberryrail/gateway/http_text.py
+++ b/packages/gateway/bilberryrail/gateway/http_text.py
@@ -66,14 +66,12 @@
     return b'\r\n'.join([*lines, b'', b''])
 
 
-def head_without_offer(
-    method: bytes, target: bytes, headers: list[Header]
-) -> bytes:
+def head_without_offer(start_line: bytes, headers: list[Header]) -> bytes:
     """Format the head of a request without its offer of another protocol.
 
     A server may ignore such an offer (RFC 9110, section 7.8).
     """
-    lines = [b'%b %b HTTP/1.1' % (method, target)]
+    lines = [start_line]
     for name, text in headers:
         match name.lower():
             case b'upgrade':
