--- a/packages/forwarding/bilberryrail/forwarding/backend.py
+++ b/packages/forwarding/bilberryrail/forwarding/backend.py
@@ -75,7 +75,7 @@
 
     def __init__(self, settings: AdmissionSettings) -> None:
         self.settings = settings
-        self.address = AddressService(settings.address_reuse_s)
+        self.address = AddressService(settings.address.address_reuse_s)
         self.instance: InstanceId | None = None
         self.service: ServiceId | None = None
         self.phase = BackendPhase.ABSENT
--- a/packages/forwarding/bilberryrail/forwarding/settings.py
+++ b/packages/forwarding/bilberryrail/forwarding/settings.py
@@ -28,6 +28,22 @@
     avoid_s: float = 0.5
 
 
+class AddressSettings(msgspec.Struct, frozen=True):
+    """Addresses of backend servers.
+
+    Other fields are ignored, since the deploy file passes all the bounds that
+    the platform states; not every deployment states each of them.
+
+    Attributes
+    ----------
+    address_reuse_s
+        Shortest time from the end of a backend server until its address may
+        belong to one of another service, in seconds.
+    """
+
+    address_reuse_s: Annotated[float, msgspec.Meta(ge=0)] = 2.0
+
+
 class AdmissionSettings(msgspec.Struct, frozen=True):
     """Admission of requests at the target.
 
@@ -44,9 +60,6 @@
     health_fresh_s
         Age up to which a health check shows that a backend server is warm, in
         seconds.
-    address_reuse_s
-        Shortest time from the end of a backend server until its address may
-        belong to one of another service, in seconds.
     """
 
     slot_share: float = 0.8
@@ -54,7 +67,7 @@
     cold_factor: float = 1.5
     cold_slack: float = 5.0
     health_fresh_s: float = 0.4
-    address_reuse_s: float = 2.0
+    address: AddressSettings = AddressSettings()
 
 
 class HedgeSettings(msgspec.Struct, frozen=True):
--- a/packages/gateway/bilberryrail/gateway/settings_test.py
+++ b/packages/gateway/bilberryrail/gateway/settings_test.py
@@ -27,6 +27,20 @@
     assert found.forwarding.admission.cold_factor == 1.5
 
 
+@pytest.mark.parametrize(
+    ('bounds', 'reuse_s'),
+    [({'grace': 6}, 2.0), ({'grace': 6, 'address_reuse_s': 5}, 5.0)],
+)
+def test_bounds_of_the_platform_may_be_passed_whole(bounds, reuse_s):
+    # Guards against a deployment that does not state each bound, for which the
+    # settings could not be filled in.
+    admission = {'cold_factor': 1.5, 'address': bounds}
+    forwarding = GOOD['forwarding'] | {'admission': admission}
+    raw = json.dumps(GOOD | {'forwarding': forwarding}).encode()
+    found = parse_settings(raw).unwrap().forwarding.admission
+    assert found.address.address_reuse_s == reuse_s
+
+
 @pytest.mark.parametrize(
     ('field', 'bad'),
     [('backend', 'nowhere'), ('service', None), ('listen', {})],
